--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,136 @@
+//! pulleystair decides where the plays of a media fleet go and on which rung they run.
+//!
+//! This file holds the plain values that a caller and the decisions exchange; the decisions are
+//! in [`logic`]. A caller keeps the plays and the timers, and hands both in with each call.
+//! All times are milliseconds with fractions; servers, titles and plays go by small indices.
+
+pub mod logic;
+
+use std::collections::BTreeMap;
+
+/// What the operators hand over at start: flat names such as `products.0.importance`.
+pub type CallSheet = BTreeMap<String, Value>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Text(String),
+}
+
+/// A viewer's session, kept by the caller in a slice and named by its index there.
+#[derive(Clone, Debug, Default)]
+pub struct Play {
+    pub product: usize,
+    pub tenant: usize,
+    pub title: usize,
+    /// The title's holders are `holders` cells in a row from `first_cell`.
+    pub first_cell: usize,
+    pub holders: usize,
+    /// Highest rung that the viewer can use.
+    pub top: usize,
+    pub came: f64,
+    /// The clock time at which the viewer gives up on a set-up.
+    pub limit: f64,
+    /// Expected length, where the site gives one.
+    pub length: Option<f64>,
+
+    // The rest is written by the decisions; a caller reads `over` and `server`.
+    /// Has had its final answer, or has ended.
+    pub over: bool,
+    /// The server that an allocation is out to, or that it plays at.
+    pub server: Option<usize>,
+    pub playing: bool,
+    pub rung: usize,
+    pub allocations: usize,
+    /// An earlier allocation may have run at its server.
+    pub may_have_run: bool,
+    /// The server that this may have happened at, and when it was sent there.
+    pub ran_at: Option<(usize, f64)>,
+    pub tried: Vec<usize>,
+    pub sent: f64,
+    pub started: f64,
+    pub ask_at: f64,
+}
+
+/// Changes of rung: plays and the rung that each now has.
+pub type Steps = Vec<(usize, usize)>;
+
+/// Where a play goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    Send {
+        server: usize,
+        rung: usize,
+        time_out: f64,
+    },
+    /// It is to be asked about again once `wait` has passed.
+    NotYet,
+    /// It plays, on this rung.
+    Stays {
+        rung: usize,
+    },
+    /// Never, and nothing of it ran: the viewer may come back, best after `pause`.
+    Declined {
+        pause: f64,
+    },
+    /// Never, and an allocation of it may have run.
+    Failed,
+}
+
+/// How an allocation went on or ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Playing,
+    Finished,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    NeverSent,
+}
+
+/// What to do with a play after an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Ask at once where it goes now.
+    Ask,
+    Nothing,
+}
+
+/// What a server, or a note about one, tells of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Figure {
+    /// Share of its rate that each play there gets.
+    Delivered(f64),
+    /// Asked of the link over what the link gives.
+    Link(f64),
+    /// The same, but never shown above 1.
+    LinkCapped(f64),
+    /// Asked of the rack's uplink over what it gives.
+    Uplink(f64),
+    /// Streams that the server runs or sets up.
+    Streams(f64),
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+/// A line of the list of servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    pub server: usize,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: usize,
+    pub standing: Standing,
+    pub weight: f64,
+    /// Clock time of the latest start; 0 for long ago.
+    pub born: f64,
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,690 @@
+//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts as they
+//! come (`list`, `take`, `adopt`, `figure`, `rung_told`, `left`), and asks three things of it: `place` (where
+//! to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
+//! the play is to be asked about again). The plain values that pass are defined in `src/lib.rs`.
+
+use crate::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Standing, Steps, Value};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A draw below this takes the roomiest holder outright (Wamser et al.).
+const WEIGHT: f64 = 0.5;
+/// Outcomes that a server's health looks back on, and the share of successes under which it is doubted.
+const OUTCOMES: usize = 4;
+const DOUBTED: f64 = 0.6;
+/// Quiet spell before a step up, and the random addition to it, ms.
+const QUIET: f64 = 10_000.0;
+const JITTER: f64 = 5_000.0;
+/// Room left for the spread of true rates: that of one play over its ladder rate.
+const SPREAD: f64 = 0.15;
+/// A step down of others must cost this much less importance than it buys.
+const BARGAIN: f64 = 1.25;
+
+struct Product {
+    importance: f64,
+    target: f64,
+    effect: String,
+    group: String,
+    repeat_window: f64,
+    floor: usize,
+    top: usize,
+    scale: f64,
+    live: bool,
+    seats: usize,
+}
+
+/// A link or uplink: what was asked of it when last measured, and what this front has changed since.
+#[derive(Default)]
+struct Pipe {
+    size: f64,
+    asked: Option<f64>,
+    taken: f64,
+    since: VecDeque<(f64, f64)>,
+}
+
+impl Pipe {
+    fn measured(&mut self, taken: f64, share: f64) {
+        if self.asked.is_some() && taken < self.taken {
+            return;
+        }
+        (self.asked, self.taken) = (Some(share * self.size), taken);
+        self.since.retain(|c| c.0 > taken);
+    }
+
+    fn change(&mut self, now: f64, kb: f64) {
+        self.since.push_back((now, kb));
+    }
+
+    fn now_asked(&self) -> Option<f64> {
+        self.asked.map(|a| (a + self.since.iter().map(|c| c.1).sum::<f64>()).max(0.0))
+    }
+
+    fn share(&self) -> f64 {
+        self.now_asked().map_or(0.0, |a| a / self.size)
+    }
+}
+
+/// All that is known of one media server.
+#[derive(Default)]
+struct Server {
+    listing: Listing,
+    link: Pipe,
+    rack: usize,
+    streams: f64,
+    outcomes: VecDeque<bool>,
+    /// Since when it counts as cold: its start, or the last sign that its process may have been lost.
+    cold_since: f64,
+    next_pace: f64,
+    plays: Vec<usize>,
+}
+
+impl Server {
+    fn health(&self) -> f64 {
+        let bad = self.outcomes.iter().filter(|ok| !**ok).count();
+        1.0 - bad as f64 / OUTCOMES as f64
+    }
+
+    fn heard(&mut self, ok: bool) {
+        self.outcomes.push_back(ok);
+        if self.outcomes.len() > OUTCOMES {
+            self.outcomes.pop_front();
+        }
+    }
+}
+
+pub struct Front {
+    sheet: CallSheet,
+    rnd: oorandom::Rand64,
+    fronts: f64,
+    rank: f64,
+    ladder: Vec<f64>,
+    earns: Vec<f64>,
+    products: Vec<Product>,
+    servers: Vec<Server>,
+    racks: Vec<Pipe>,
+    seats: BTreeMap<(usize, usize), usize>,
+    taken: VecDeque<f64>,
+    further: VecDeque<f64>,
+}
+
+fn number(sheet: &CallSheet, name: &str, otherwise: f64) -> f64 {
+    match sheet.get(name) {
+        Some(Value::Number(n)) => *n,
+        _ => otherwise,
+    }
+}
+
+fn text(sheet: &CallSheet, name: &str) -> String {
+    match sheet.get(name) {
+        Some(Value::Text(t)) => t.clone(),
+        _ => String::new(),
+    }
+}
+
+fn row(sheet: &CallSheet, name: &str) -> Vec<f64> {
+    (0..)
+        .map_while(|i| sheet.get(&format!("{name}.{i}")))
+        .map(|v| if let Value::Number(n) = v { *n } else { 0.0 })
+        .collect()
+}
+
+impl Front {
+    pub fn new(sheet: CallSheet, seed: u64) -> Front {
+        let mut ladder = row(&sheet, "extra.ladder_kb");
+        let mut earns = row(&sheet, "extra.rung_worth");
+        ladder.resize(ladder.len().max(1), 0.0);
+        earns.resize(ladder.len(), 0.0);
+        let product = |i: usize| {
+            let of = |part: &str, other: f64| number(&sheet, &format!("products.{i}.{part}"), other);
+            let extra = |part: &str, other: f64| number(&sheet, &format!("extra.{part}.{i}"), other);
+            Product {
+                importance: of("importance", 1.0),
+                target: of("first_frame_target", 1000.0),
+                effect: text(&sheet, &format!("products.{i}.effect")),
+                group: text(&sheet, &format!("products.{i}.key_scope")),
+                repeat_window: of("repeat_window", 0.0),
+                floor: extra("class_floor", 0.0) as usize,
+                top: extra("top_by_class", 99.0) as usize,
+                scale: extra("class_scale", 1.0),
+                live: extra("class_live", 0.0) > 0.0,
+                seats: extra("seats", 0.0) as usize,
+            }
+        };
+        let count = (0..).take_while(|i| sheet.contains_key(&format!("products.{i}.importance"))).count();
+        let products = (0..count).map(product).collect();
+        let racks = number(&sheet, "extra.cabinets", 1.0).max(1.0) as usize;
+        Front {
+            rnd: oorandom::Rand64::new(seed.into()),
+            fronts: number(&sheet, "balancers", 1.0).max(1.0),
+            rank: number(&sheet, "rank", 0.0),
+            earns,
+            ladder,
+            products,
+            servers: Vec::new(),
+            racks: (0..racks).map(|_| Pipe::default()).collect(),
+            seats: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            sheet,
+        }
+    }
+
+    /// Whether the call sheet names this product.
+    pub fn sells(&self, product: usize) -> bool {
+        product < self.products.len()
+    }
+
+    /// When to ask discovery for changes, where it must be asked: now, or after a pause if a call has failed.
+    pub fn follow(&self, failed: bool) -> Option<f64> {
+        let asked = text(&self.sheet, "discovery") == "subscribe";
+        asked.then_some(if failed { 1000.0 } else { 0.0 })
+    }
+
+    fn know(&mut self, s: usize) {
+        if s >= self.servers.len() {
+            self.servers.resize_with(s + 1, Server::default);
+        }
+    }
+
+    fn rule(&self, name: &str, otherwise: f64) -> f64 {
+        number(&self.sheet, name, otherwise)
+    }
+
+    // ---- facts ----
+
+    /// The list of servers, whole or its changes. A cached one may be old: all on it count as just started
+    /// until discovery speaks, lest a front that restarts rush a server that restarted meanwhile.
+    pub fn list(&mut self, now: f64, whole: bool, cached: bool, lines: &[Listing]) {
+        let unit = self.rule("extra.link_unit_kb", 1.0);
+        if whole {
+            self.servers.iter_mut().for_each(|s| s.listing.standing = Standing::Gone);
+        }
+        for line in lines {
+            self.know(line.server);
+            let s = &mut self.servers[line.server];
+            if line.born > s.listing.born && s.listing.weight > 0.0 {
+                (s.link.asked, s.streams) = (None, 0.0);
+                s.outcomes.clear();
+            }
+            s.cold_since = s.cold_since.max(line.born);
+            if cached {
+                s.cold_since = now;
+            }
+            (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
+            s.listing = *line;
+        }
+        let mean = self.rule("extra.rack_link_kb", 1.0);
+        let mut links = vec![0.0; self.racks.len()];
+        for s in self.servers.iter().filter(|s| s.listing.standing == Standing::Ready) {
+            links[s.rack] += s.link.size;
+        }
+        let all: f64 = links.iter().sum();
+        for (rack, link) in self.racks.iter_mut().zip(&links) {
+            if rack.size == 0.0 && all > 0.0 {
+                rack.size = (mean * link * links.len() as f64 / all).max(1.0);
+            }
+        }
+        if whole && !cached {
+            for s in &mut self.servers {
+                s.cold_since = s.cold_since.min(s.listing.born);
+            }
+        }
+    }
+
+    /// A play was taken.
+    pub fn take(&mut self, now: f64, play: &mut Play) {
+        self.taken.push_back(now);
+        play.ask_at = now;
+        play.rung = self.products[play.product].floor;
+    }
+
+    /// A play that was under way before this front started.
+    pub fn adopt(&mut self, now: f64, plays: &mut [Play], ply: usize) {
+        let server = plays[ply].server;
+        plays[ply].rung = self.products[plays[ply].product].floor;
+        (plays[ply].playing, plays[ply].allocations) = (true, 1);
+        plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+        if let Some(s) = server {
+            self.know(s);
+            self.servers[s].plays.push(ply);
+        }
+        *self.seats.entry((plays[ply].product, plays[ply].title)).or_default() += 1;
+    }
+
+    pub fn rung_told(&mut self, plays: &mut [Play], ply: usize, rung: usize) {
+        plays[ply].rung = rung.min(self.ladder.len().saturating_sub(1));
+    }
+
+    /// The viewer left; an allocation may still be out.
+    pub fn left(&mut self, plays: &mut [Play], ply: usize) {
+        plays[ply].over = true;
+    }
+
+    /// What a server told of itself, or a note about it on play `of`. Answers the steps down that this asks for.
+    pub fn figure(
+        &mut self,
+        now: f64,
+        plays: &mut [Play],
+        s: usize,
+        of: Option<usize>,
+        figure: Figure,
+    ) -> Steps {
+        // The note at set-up is of now; all else is as late as notes are.
+        let fresh = of.is_some_and(|ply| plays[ply].started == now);
+        let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) };
+        if s >= self.servers.len() {
+            return Vec::new();
+        }
+        let rack = self.servers[s].rack;
+        match figure {
+            Figure::Streams(n) => self.servers[s].streams = n,
+            Figure::Link(x) => self.servers[s].link.measured(taken, x),
+            Figure::LinkCapped(x) => {
+                let known = self.servers[s].link.share();
+                self.servers[s].link.measured(taken, if x >= 1.0 { known.max(1.0) } else { x });
+            }
+            Figure::Uplink(x) => self.racks[rack].measured(taken, x),
+            Figure::Delivered(share) => {
+                let by_rack = self.racks[rack].share() > self.servers[s].link.share();
+                let pipe = if by_rack { &mut self.racks[rack] } else { &mut self.servers[s].link };
+                if share < 0.98 {
+                    pipe.measured(taken, 1.0 / share.max(0.05));
+                } else if pipe.share() > 1.0 {
+                    pipe.measured(taken, 1.0);
+                }
+            }
+        }
+        // Short of room: this front's plays there give up their part of the excess, as every other front's do.
+        let mut steps = Vec::new();
+        let uplink = self.racks[rack].share() > self.servers[s].link.share();
+        let pipe = if uplink { &self.racks[rack] } else { &self.servers[s].link };
+        let share = pipe.share();
+        if share > 1.0 {
+            let scope = self.scope(s, uplink);
+            let own: f64 = scope.iter().map(|s| self.own(plays, *s)).sum();
+            let mut excess = own * (1.0 - 1.0 / share);
+            while excess > 0.0 {
+                let Some((_, freed, unit)) = self.cheapest(plays, &scope, usize::MAX) else { break };
+                excess -= freed;
+                self.step_down(now, plays, &unit, freed, &mut steps);
+            }
+        }
+        steps
+    }
+
+    // ---- the three questions ----
+
+    /// Where this play goes: the design's ordinary path, from the title's holders to a rung.
+    pub fn place(&mut self, now: f64, plays: &mut [Play], ply: usize) -> (Place, Steps) {
+        if plays[ply].playing {
+            return self.step_up(now, plays, ply);
+        }
+        let (product, title) = (plays[ply].product, plays[ply].title);
+        let seats = self.products[product].seats;
+        let seated = self.seats.get(&(product, title)).copied().unwrap_or(0);
+        let out_of_turn = plays[ply].allocations > 0 && !self.may_allocate_again(now, &plays[ply]);
+        if (seats > 0 && seated >= seats) || out_of_turn || now >= plays[ply].limit - 1.0 {
+            return (self.never(&mut plays[ply]), Vec::new());
+        }
+
+        // Holders that may be sent to at all; those that failed this play only if there are no others.
+        let mut holders: Vec<usize> =
+            (0..self.servers.len()).filter(|s| self.holds(*s, &plays[ply])).collect();
+        let fresh: Vec<usize> = holders.iter().copied().filter(|s| !plays[ply].tried.contains(s)).collect();
+        if !fresh.is_empty() {
+            holders = fresh;
+        }
+        if holders.is_empty() {
+            return (self.never(&mut plays[ply]), Vec::new());
+        }
+        // Cold and doubted holders take plays at their pace only; a play that finds no other waits for it.
+        let open: Vec<usize> = holders.iter().copied().filter(|s| self.pace(now, *s) <= now).collect();
+        if open.is_empty() {
+            let soonest = holders.iter().map(|s| self.pace(now, *s)).fold(f64::MAX, f64::min);
+            if soonest >= plays[ply].limit - 200.0 {
+                return (self.never(&mut plays[ply]), Vec::new());
+            }
+            plays[ply].ask_at = soonest.max(now + 1.0);
+            return (Place::NotYet, Vec::new());
+        }
+
+        // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
+        let unmeasured: Vec<usize> =
+            open.iter().copied().filter(|s| self.servers[*s].link.asked.is_none()).collect();
+        let rooms: Vec<f64> =
+            open.iter().map(|s| self.room(plays, *s).max(0.0) * self.servers[*s].health()).collect();
+        let total: f64 = rooms.iter().sum();
+        let server = if !unmeasured.is_empty() {
+            unmeasured[self.rnd.rand_range(0..unmeasured.len() as u64) as usize]
+        } else if total <= 0.0 {
+            let used =
+                |s: &usize| self.servers[*s].link.share().max(self.racks[self.servers[*s].rack].share());
+            *open.iter().min_by(|a, b| used(a).total_cmp(&used(b))).unwrap_or(&open[0])
+        } else if self.rnd.rand_float() < WEIGHT {
+            let best = (0..open.len()).max_by(|a, b| rooms[*a].total_cmp(&rooms[*b]));
+            open[best.unwrap_or(0)]
+        } else {
+            let mut draw = self.rnd.rand_float() * total;
+            let won = rooms.iter().position(|r| {
+                draw -= r;
+                draw < 0.0
+            });
+            open[won.unwrap_or(open.len() - 1)]
+        };
+
+        // The highest rung that the link has room for, and what others give up for more.
+        let (rung, steps) = self.rung_for(now, plays, ply, server);
+        let kb = self.adds(plays, server, &plays[ply], ply, rung);
+        self.load(now, server, kb);
+        self.spend_pace(now, server);
+        let play = &mut plays[ply];
+        if play.allocations > 0 {
+            self.further.push_back(now);
+        }
+        let target = play.came + self.products[product].target;
+        let tries =
+            (self.rule("ceilings.attempts_cap", 4.0) as usize).saturating_sub(play.allocations).clamp(1, 2);
+        let until = if tries == 1 || target - now < 100.0 { play.limit } else { target };
+        let time_out = ((until - now) / tries as f64).min(play.limit - now);
+        (play.server, play.rung, play.sent) = (Some(server), rung, now);
+        play.allocations += 1;
+        self.servers[server].plays.push(ply);
+        *self.seats.entry((product, title)).or_default() += 1;
+        (Place::Send { server, rung, time_out }, steps)
+    }
+
+    /// What to do after an outcome of the play's latest allocation. `closed`: the play has ended with it.
+    pub fn after(
+        &mut self,
+        now: f64,
+        plays: &mut [Play],
+        ply: usize,
+        outcome: Outcome,
+        closed: bool,
+    ) -> Next {
+        let Some(s) = plays[ply].server else {
+            plays[ply].over |= closed;
+            return Next::Nothing;
+        };
+        if outcome == Outcome::Playing {
+            (plays[ply].playing, plays[ply].started) = (true, now);
+            plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+            self.servers[s].heard(true);
+            return Next::Nothing;
+        }
+        let playing = plays[ply].playing;
+        match outcome {
+            Outcome::Error => self.servers[s].heard(false),
+            Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
+                // The process may be gone and come back cold before the list tells.
+                self.servers[s].heard(false);
+                self.servers[s].cold_since = now;
+            }
+            Outcome::Full => self.servers[s].link.measured(now, 1.0),
+            _ => {}
+        }
+        let kb = self.adds(plays, s, &plays[ply], ply, plays[ply].rung);
+        self.load(now, s, -kb);
+        self.servers[s].plays.retain(|p| *p != ply);
+        if let Some(n) = self.seats.get_mut(&(plays[ply].product, plays[ply].title)) {
+            *n = n.saturating_sub(1);
+        }
+        let play = &mut plays[ply];
+        if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
+            play.may_have_run = true;
+            play.ran_at.get_or_insert((s, play.sent));
+        }
+        play.server = None;
+        play.tried.push(s);
+        play.over |= closed || playing;
+        if play.over { Next::Nothing } else { Next::Ask }
+    }
+
+    /// How long until the play is to be asked about again; none while an allocation is out.
+    pub fn wait(&self, now: f64, play: &Play) -> Option<f64> {
+        let due = !play.over && (play.playing || play.server.is_none());
+        due.then(|| (play.ask_at - now).max(0.0))
+    }
+
+    // ---- holders ----
+
+    fn holds(&self, s: usize, play: &Play) -> bool {
+        let at = &self.servers[s].listing;
+        let cells = (self.rule("extra.places", 1.0) as usize).max(1);
+        let within = (at.cell + cells - play.first_cell % cells) % cells < play.holders;
+        let places = self.rule(&format!("extra.places_by_kind.{}", at.kind), f64::MAX);
+        let streams = self.servers[s].streams.max(self.servers[s].plays.len() as f64);
+        let same = play.ran_at.is_none_or(|(r, _)| match self.products[play.product].group.as_str() {
+            _ if self.products[play.product].effect != "idempotency_key" => true,
+            "zone" => self.servers[r].listing.zone == at.zone,
+            "cell" => self.servers[r].listing.cell == at.cell,
+            _ => true,
+        });
+        at.standing == Standing::Ready && within && same && streams < places
+    }
+
+    /// Whether the rules leave room for one more allocation of a play that had some.
+    fn may_allocate_again(&mut self, now: f64, play: &Play) -> bool {
+        let product = &self.products[play.product];
+        let repeatable = !play.may_have_run
+            || match product.effect.as_str() {
+                "non_idempotent" => false,
+                "idempotency_key" => play.ran_at.is_none_or(|(_, sent)| now - sent < product.repeat_window),
+                _ => true,
+            };
+        let span = self.rule("rules.budget_span", 0.0);
+        while self.taken.front().is_some_and(|t| *t <= now - span) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|t| *t < now - span) {
+            self.further.pop_front();
+        }
+        let budget = if self.sheet.contains_key("rules.budget_share") {
+            self.rule("rules.free_resends", 0.0)
+                + self.rule("rules.budget_share", 0.0) * self.taken.len() as f64
+        } else {
+            f64::MAX
+        };
+        let cap = self.rule("ceilings.attempts_cap", 4.0) as usize;
+        repeatable && play.allocations < cap && self.further.len() as f64 + 1.0 <= budget
+    }
+
+    fn never(&self, play: &mut Play) -> Place {
+        play.over = true;
+        let product = &self.products[play.product];
+        let refusable = match product.effect.as_str() {
+            "non_idempotent" => !play.may_have_run,
+            "idempotency_key" => !play.may_have_run || product.group == "all",
+            _ => true,
+        };
+        if !refusable {
+            return Place::Failed;
+        }
+        let heeded = self.rule("ceilings.retry_after", 0.0) > 0.0;
+        Place::Declined { pause: if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 } }
+    }
+
+    /// When the server may next be sent to. Cold ones by this front's part of the warm-up's pace; fronts take
+    /// turns by rank, so that their parts do not fall together. Doubted ones at the same pace.
+    fn pace(&self, now: f64, s: usize) -> f64 {
+        let server = &self.servers[s];
+        let cold = now < server.cold_since + self.rule("rules.cold", 0.0);
+        if cold || server.health() < DOUBTED { server.next_pace.max(self.turn(s)) } else { now }
+    }
+
+    fn gap(&self, now: f64, s: usize) -> f64 {
+        let server = &self.servers[s];
+        let warm_up = self.rule("rules.cold", 0.0).max(1.0);
+        let places = self.rule(&format!("extra.places_by_kind.{}", server.listing.kind), 1.0).max(1.0);
+        let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
+        let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
+        self.fronts * warm_up / (places * (from + (1.0 - from) * warmed))
+    }
+
+    fn turn(&self, s: usize) -> f64 {
+        let start = self.servers[s].cold_since;
+        start + self.gap(start, s) * self.rank / self.fronts
+    }
+
+    fn spend_pace(&mut self, now: f64, s: usize) {
+        self.servers[s].next_pace = now + self.gap(now, s);
+    }
+
+    // ---- room and rungs ----
+
+    /// The one room figure: what the link and its rack's uplink both still carry, less the margin.
+    fn room(&self, plays: &[Play], s: usize) -> f64 {
+        let middle = self.ladder.get(self.ladder.len() / 2).copied().unwrap_or(0.0);
+        let free = |pipe: &Pipe, asked: f64| pipe.size - asked - SPREAD * (pipe.size * middle).sqrt();
+        let server = &self.servers[s];
+        let link = server.link.now_asked().unwrap_or_else(|| {
+            let known: Vec<f64> =
+                self.servers.iter().filter(|o| o.link.asked.is_some()).map(|o| o.link.share()).collect();
+            let average = if known.is_empty() { 0.5 } else { known.iter().sum::<f64>() / known.len() as f64 };
+            (average * server.link.size).max(self.own(plays, s) * self.fronts)
+        });
+        let rack = &self.racks[server.rack];
+        free(&server.link, link).min(free(rack, rack.now_asked().unwrap_or(0.5 * rack.size)))
+    }
+
+    fn rate(&self, play: &Play, rung: usize) -> f64 {
+        self.ladder[rung] * self.products[play.product].scale
+    }
+
+    /// What this play at this rung adds to a server: of a live title that already streams there, only `join`.
+    fn adds(&self, plays: &[Play], s: usize, play: &Play, ply: usize, rung: usize) -> f64 {
+        let shared = self.products[play.product].live
+            && self.servers[s].plays.iter().any(|o| {
+                let other = &plays[*o];
+                *o != ply && (other.title, other.product, other.rung) == (play.title, play.product, rung)
+            });
+        self.rate(play, rung) * if shared { self.rule("extra.join", 1.0) } else { 1.0 }
+    }
+
+    fn own(&self, plays: &[Play], s: usize) -> f64 {
+        let at = &self.servers[s].plays;
+        let before = |i: usize, p: &Play| {
+            at[..i]
+                .iter()
+                .any(|o| (plays[*o].title, plays[*o].product, plays[*o].rung) == (p.title, p.product, p.rung))
+        };
+        let part = |(i, ply): (usize, &usize)| {
+            let p = &plays[*ply];
+            let shared = self.products[p.product].live && before(i, p);
+            self.rate(p, p.rung) * if shared { self.rule("extra.join", 1.0) } else { 1.0 }
+        };
+        at.iter().enumerate().map(part).sum()
+    }
+
+    fn load(&mut self, now: f64, s: usize, kb: f64) {
+        self.servers[s].link.change(now, kb);
+        let rack = self.servers[s].rack;
+        self.racks[rack].change(now, kb);
+    }
+
+    fn scope(&self, s: usize, uplink: bool) -> Vec<usize> {
+        if !uplink {
+            return vec![s];
+        }
+        (0..self.servers.len()).filter(|o| self.servers[*o].rack == self.servers[s].rack).collect()
+    }
+
+    /// The step down that loses least importance for what it frees: that loss per kB, the kB, and the plays
+    /// (one, or all of this front that share a live stream).
+    fn cheapest(&self, plays: &[Play], scope: &[usize], but: usize) -> Option<(f64, f64, Vec<usize>)> {
+        let mut best: Option<(f64, f64, Vec<usize>)> = None;
+        for s in scope {
+            for (i, ply) in self.servers[*s].plays.iter().enumerate() {
+                let p = &plays[*ply];
+                let product = &self.products[p.product];
+                if *ply == but || p.rung <= product.floor {
+                    continue;
+                }
+                let with = |o: &&usize| {
+                    let o = &plays[**o];
+                    (o.title, o.product, o.rung) == (p.title, p.product, p.rung)
+                };
+                if product.live && self.servers[*s].plays[..i].iter().any(|o| with(&o)) {
+                    continue;
+                }
+                let unit: Vec<usize> = if product.live {
+                    self.servers[*s].plays.iter().filter(with).copied().collect()
+                } else {
+                    vec![*ply]
+                };
+                let streams = 1.0 + (unit.len() - 1) as f64 * self.rule("extra.join", 1.0);
+                let freed = (self.rate(p, p.rung) - self.rate(p, p.rung - 1)) * streams;
+                let lost =
+                    unit.len() as f64 * product.importance * (self.earns[p.rung] - self.earns[p.rung - 1]);
+                let per_kb = lost / freed.max(1e-9);
+                if best.as_ref().is_none_or(|b| per_kb < b.0) {
+                    best = Some((per_kb, freed, unit));
+                }
+            }
+        }
+        best
+    }
+
+    fn step_down(&mut self, now: f64, plays: &mut [Play], unit: &[usize], freed: f64, steps: &mut Steps) {
+        for ply in unit {
+            let p = &mut plays[*ply];
+            p.rung -= 1;
+            p.ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+            steps.retain(|s| s.0 != *ply);
+            steps.push((*ply, p.rung));
+        }
+        if let Some(s) = plays[unit[0]].server {
+            self.load(now, s, -freed);
+        }
+    }
+
+    /// The rung at set-up. Where it would start low while own plays there hold rungs that earn less for their
+    /// rate, those step down for it: importance grows less than the rate, so first come must not take all.
+    fn rung_for(&mut self, now: f64, plays: &mut [Play], ply: usize, s: usize) -> (usize, Steps) {
+        let product = &self.products[plays[ply].product];
+        let (floor, importance) = (product.floor, product.importance);
+        let top = plays[ply].top.min(product.top).min(self.ladder.len() - 1).max(floor);
+        let mut room = self.room(plays, s);
+        let fits = |r: &usize| self.adds(plays, s, &plays[ply], ply, *r) <= room;
+        let mut rung = (floor..=top).rev().find(fits).unwrap_or(floor);
+        room -= self.adds(plays, s, &plays[ply], ply, rung);
+        let scope = self.scope(s, self.racks[self.servers[s].rack].share() > self.servers[s].link.share());
+        let mut steps = Vec::new();
+        while rung < top {
+            let more =
+                self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung);
+            if more <= room {
+                rung += 1;
+                room -= more;
+                continue;
+            }
+            let gain = importance * (self.earns[rung + 1] - self.earns[rung]) / more.max(1e-9);
+            let Some((lost, freed, unit)) = self.cheapest(plays, &scope, ply) else { break };
+            if lost * BARGAIN > gain {
+                break;
+            }
+            room += freed;
+            self.step_down(now, plays, &unit, freed, &mut steps);
+        }
+        (rung, steps)
+    }
+
+    /// One rung up after the quiet spell, where this front's part of the room carries it.
+    fn step_up(&mut self, now: f64, plays: &mut [Play], ply: usize) -> (Place, Steps) {
+        let rung = plays[ply].rung;
+        let product = &self.products[plays[ply].product];
+        let top = plays[ply].top.min(product.top).min(self.ladder.len() - 1);
+        let Some(s) = plays[ply].server.filter(|_| now >= plays[ply].ask_at - 0.01) else {
+            return (Place::Stays { rung }, Vec::new());
+        };
+        plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+        if rung < top && s < self.servers.len() {
+            let more =
+                self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung);
+            if more <= self.room(plays, s) / self.fronts {
+                plays[ply].rung += 1;
+                self.load(now, s, more);
+            }
+        }
+        (Place::Stays { rung: plays[ply].rung }, Vec::new())
+    }
+}
