Leave the last step down to chance, so that fronts do not overshoot together

Cause: rungs are coarse and few plays share a link, so each front's last whole step added up to far more than the shortage. Guards against any shortage seen by several fronts at once; could leave a small shortage for one more report.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -304,6 +304,10 @@
             let mut excess = own * (1.0 - 1.0 / share);
             while excess > 0.0 {
                 let Some((_, freed, unit)) = self.cheapest(plays, &scope, usize::MAX) else { break };
+                // Rungs are coarse: the last step is left to chance, or all fronts together would overshoot.
+                if freed > excess && self.rnd.rand_float() > excess / freed {
+                    break;
+                }
                 excess -= freed;
                 self.step_down(now, plays, &unit, freed, &mut steps);
             }
