--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,8 @@
 struct Pipe {
     size: f64,
     asked: Option<f64>,
+    /// The measurement before that one, with what this front has changed since.
+    before: f64,
     taken: f64,
     since: VecDeque<(f64, f64)>,
 }
@@ -46,12 +48,19 @@
         if self.asked.is_some() && taken < self.taken {
             return;
         }
+        self.before = self.now_asked().unwrap_or(0.0);
         (self.asked, self.taken) = (Some(share * self.size), taken);
         self.since.retain(|c| c.0 > taken);
     }
 
     fn change(&mut self, now: f64, kb: f64) {
         self.since.push_back((now, kb));
+        self.before += kb;
+    }
+
+    /// Asked over given where two measurements in a row say so: one alone may be a blink of the link or noise.
+    fn steady_share(&self) -> f64 {
+        self.share().min(self.before / self.size)
     }
 
     fn now_asked(&self) -> Option<f64> {
@@ -295,9 +304,9 @@
         }
         // Short of room: this front's plays there give up their part of the excess, as every other front's do.
         let mut steps = Vec::new();
-        let uplink = self.racks[rack].share() > self.servers[s].link.share();
+        let uplink = self.racks[rack].steady_share() > self.servers[s].link.steady_share();
         let pipe = if uplink { &self.racks[rack] } else { &self.servers[s].link };
-        let share = pipe.share();
+        let share = pipe.steady_share();
         if share > 1.0 {
             let scope = self.scope(s, uplink);
             let own: f64 = scope.iter().map(|s| self.own(plays, *s)).sum();
