--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,9 @@
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.25;
 
+/// Measurements closer than this are of one moment, ms.
+const APART: f64 = 500.0;
+
 struct Product {
     importance: f64,
     target: f64,
@@ -48,7 +51,9 @@
         if self.asked.is_some() && taken < self.taken {
             return;
         }
-        self.before = self.now_asked().unwrap_or(0.0);
+        if taken >= self.taken + APART {
+            self.before = self.now_asked().unwrap_or(0.0);
+        }
         (self.asked, self.taken) = (Some(share * self.size), taken);
         self.since.retain(|c| c.0 > taken);
     }
