--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 const QUIET: f64 = 10_000.0;
 const JITTER: f64 = 5_000.0;
 /// Room left for the spread of true rates: that of one play over its ladder rate.
-const SPREAD: f64 = 0.15;
+const SPREAD: f64 = 0.3;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.25;
 
