--- a/src/logic.rs
+++ b/src/logic.rs
@@ -368,8 +368,10 @@
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
         let unmeasured: Vec<usize> =
             open.iter().copied().filter(|s| self.servers[*s].link.asked.is_none()).collect();
-        let rooms: Vec<f64> =
-            open.iter().map(|s| self.room(plays, *s).max(0.0) * self.servers[*s].health()).collect();
+        let rooms: Vec<f64> = open
+            .iter()
+            .map(|s| self.room(plays, *s).max(0.0) * self.servers[*s].health() * self.near(*s))
+            .collect();
         let total: f64 = rooms.iter().sum();
         let server = if !unmeasured.is_empty() {
             unmeasured[self.rnd.rand_range(0..unmeasured.len() as u64) as usize]
@@ -465,6 +467,12 @@
 
     // ---- holders ----
 
+    /// What a server's room counts for in the draw: half where a play crosses zones and that has its price.
+    fn near(&self, s: usize) -> f64 {
+        let crosses = self.servers[s].listing.zone as f64 != self.rule("zone", 0.0);
+        if crosses && self.rule("costs.cross_zone", 0.0) > 0.0 { 0.5 } else { 1.0 }
+    }
+
     fn holds(&self, s: usize, play: &Play) -> bool {
         let at = &self.servers[s].listing;
         let cells = (self.rule("extra.places", 1.0) as usize).max(1);
