Prefer holders that already stream a live title while they have room

Could harm where a stream's server is slow in ways that room does not show: it draws the title's viewers while health and room look good.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -113,6 +113,8 @@
     ladder: Vec<f64>,
     earns: Vec<f64>,
     products: Vec<Product>,
+    /// The part of its rate that a further viewer adds to a live stream.
+    shared: f64,
     servers: Vec<Server>,
     racks: Vec<Pipe>,
     seats: BTreeMap<(usize, usize), usize>,
@@ -173,6 +175,7 @@
             earns,
             ladder,
             products,
+            shared: number(&sheet, "extra.join", 1.0),
             servers: Vec::new(),
             racks: (0..racks).map(|_| Pipe::default()).collect(),
             seats: BTreeMap::new(),
@@ -365,6 +368,16 @@
             return (Place::NotYet, Vec::new());
         }
 
+        // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream it
+        // already and have room come before all others.
+        let streams_it = |s: &usize| {
+            let same = |o: &usize| (plays[*o].title, plays[*o].product) == (title, product);
+            self.products[product].live && self.shared < 1.0 && self.servers[*s].plays.iter().any(same)
+        };
+        let sharing: Vec<usize> =
+            open.iter().copied().filter(|s| streams_it(s) && self.room(plays, *s) > 0.0).collect();
+        let open = if sharing.is_empty() { open } else { sharing };
+
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
         let unmeasured: Vec<usize> =
             open.iter().copied().filter(|s| self.servers[*s].link.asked.is_none()).collect();
@@ -583,7 +596,7 @@
                 let other = &plays[*o];
                 *o != ply && (other.title, other.product, other.rung) == (play.title, play.product, rung)
             });
-        self.rate(play, rung) * if shared { self.rule("extra.join", 1.0) } else { 1.0 }
+        self.rate(play, rung) * if shared { self.shared } else { 1.0 }
     }
 
     fn own(&self, plays: &[Play], s: usize) -> f64 {
@@ -596,7 +609,7 @@
         let part = |(i, ply): (usize, &usize)| {
             let p = &plays[*ply];
             let shared = self.products[p.product].live && before(i, p);
-            self.rate(p, p.rung) * if shared { self.rule("extra.join", 1.0) } else { 1.0 }
+            self.rate(p, p.rung) * if shared { self.shared } else { 1.0 }
         };
         at.iter().enumerate().map(part).sum()
     }
@@ -637,7 +650,7 @@
                 } else {
                     vec![*ply]
                 };
-                let streams = 1.0 + (unit.len() - 1) as f64 * self.rule("extra.join", 1.0);
+                let streams = 1.0 + (unit.len() - 1) as f64 * self.shared;
                 let freed = (self.rate(p, p.rung) - self.rate(p, p.rung - 1)) * streams;
                 let lost =
                     unit.len() as f64 * product.importance * (self.earns[p.rung] - self.earns[p.rung - 1]);
