Decline a play that would take more importance from a short holder than it brings

Also covers shrunken links and racks. Harms where the shortage has just ended and two figures still show it: a viewer is sent off for nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -368,6 +368,10 @@
             return (Place::NotYet, Vec::new());
         }
 
+        let open: Vec<usize> = open.into_iter().filter(|s| !self.crowded(plays, *s, &plays[ply])).collect();
+        if open.is_empty() {
+            return (self.never(&mut plays[ply]), Vec::new());
+        }
         // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream it
         // already and have room come before all others.
         let streams_it = |s: &usize| {
@@ -542,6 +546,28 @@
         Place::Declined { pause: if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 } }
     }
 
+    /// Whether a play at its lowest rung would take more importance from those at the server than it brings:
+    /// the link or uplink stays short though nothing of this front's there can step down any more. Guards
+    /// against floods that no rung can carry, whatever brings them.
+    fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
+        let server = &self.servers[s];
+        let rack = &self.racks[server.rack];
+        let uplink = rack.steady_share() > server.link.steady_share();
+        let pipe = if uplink { rack } else { &server.link };
+        let short = pipe.steady_share() - 1.0;
+        let scope = self.scope(s, uplink);
+        if short <= 0.0 {
+            return false;
+        }
+        let stall = self.rule("extra.stall_cost", 0.0);
+        let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
+        let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
+        let floor = self.products[play.product].floor;
+        let takes = self.rate(play, floor) / pipe.size * stall * there * self.fronts;
+        let brings = self.products[play.product].importance * self.earns[floor] * (1.0 - stall * short);
+        brings <= takes
+    }
+
     /// When the server may next be sent to. Cold ones by this front's part of the warm-up's pace; fronts take
     /// turns by rank, so that their parts do not fall together. Doubted ones at the same pace.
     fn pace(&self, now: f64, s: usize) -> f64 {
