Reckon that other fronts add half as much as this one since a report was taken

Covers late reports and bursts seen by several fronts; harms where one front has nearly all viewers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,8 @@
 const JITTER: f64 = 5_000.0;
 /// Room left for the spread of true rates: that of one play over its ladder rate.
 const SPREAD: f64 = 0.3;
+/// Each other front is reckoned to have added this part of what this one has since a report was taken.
+const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.25;
 
@@ -599,7 +601,11 @@
     /// The one room figure: what the link and its rack's uplink both still carry, less the margin.
     fn room(&self, plays: &[Play], s: usize) -> f64 {
         let middle = self.ladder.get(self.ladder.len() / 2).copied().unwrap_or(0.0);
-        let free = |pipe: &Pipe, asked: f64| pipe.size - asked - SPREAD * (pipe.size * middle).sqrt();
+        let free = |pipe: &Pipe, asked: f64| {
+            let own: f64 = pipe.since.iter().map(|c| c.1).sum();
+            let others = (self.fronts - 1.0) * OTHERS * own.max(0.0);
+            pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
+        };
         let server = &self.servers[s];
         let link = server.link.now_asked().unwrap_or_else(|| {
             let known: Vec<f64> =
