--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,7 @@
 const OUTCOMES: usize = 4;
 const DOUBTED: f64 = 0.6;
 /// Quiet spell before a step up, and the random addition to it, ms.
-const QUIET: f64 = 10_000.0;
+const QUIET: f64 = 5_000.0;
 const JITTER: f64 = 5_000.0;
 /// Room left for the spread of true rates: that of one play over its ladder rate.
 const SPREAD: f64 = 0.3;
