--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,8 @@
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.25;
 
+/// What is told of delivery is smoothed: it lags the link by so much more, ms.
+const SMOOTHED: f64 = 1000.0;
 /// Measurements closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
@@ -289,7 +291,8 @@
     ) -> Steps {
         // The note at set-up is of now; all else is as late as notes are.
         let fresh = of.is_some_and(|ply| plays[ply].started == now);
-        let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) };
+        let smoothed = if matches!(figure, Figure::Delivered(_)) { SMOOTHED } else { 0.0 };
+        let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) - smoothed };
         if s >= self.servers.len() {
             return Vec::new();
         }
