--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 
 /// What is told of delivery is smoothed: it lags the link by so much more, ms.
 const SMOOTHED: f64 = 1000.0;
+/// Part of what would push a cold server over that all fronts together send it.
+const PACED: f64 = 0.6;
 /// Measurements closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
@@ -587,7 +589,8 @@
         let places = self.rule(&format!("extra.places_by_kind.{}", server.listing.kind), 1.0).max(1.0);
         let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
         let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
-        self.fronts * warm_up / (places * (from + (1.0 - from) * warmed))
+        let pace = places / warm_up * (from + (1.0 - from) * warmed);
+        self.fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
     }
 
     fn turn(&self, s: usize) -> f64 {
