--- a/src/logic.rs
+++ b/src/logic.rs
@@ -426,7 +426,7 @@
         }
         let target = play.came + self.products[product].target;
         let tries =
-            (self.rule("ceilings.attempts_cap", 4.0) as usize).saturating_sub(play.allocations).clamp(1, 2);
+            (self.rule("ceilings.attempts_cap", 4.0) as usize).saturating_sub(play.allocations).clamp(1, 3);
         let until = if tries == 1 || target - now < 100.0 { play.limit } else { target };
         let time_out = ((until - now) / tries as f64).min(play.limit - now);
         (play.server, play.rung, play.sent) = (Some(server), rung, now);
