--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,7 +19,7 @@
 /// Each other front is reckoned to have added this part of what this one has since a report was taken.
 const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
-const BARGAIN: f64 = 1.25;
+const BARGAIN: f64 = 2.0;
 
 /// What is told of delivery is smoothed: it lags the link by so much more, ms.
 const SMOOTHED: f64 = 1000.0;
