--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,7 @@
 const SMOOTHED: f64 = 1000.0;
 /// Part of what would push a cold server over that all fronts together send it.
 const PACED: f64 = 0.6;
-/// Measurements closer than this are of one moment, ms.
+/// Measurements heard closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
 struct Product {
@@ -49,18 +49,19 @@
     /// The measurement before that one, with what this front has changed since.
     before: f64,
     taken: f64,
+    heard: f64,
     since: VecDeque<(f64, f64)>,
 }
 
 impl Pipe {
-    fn measured(&mut self, taken: f64, share: f64) {
+    fn measured(&mut self, now: f64, taken: f64, share: f64) {
         if self.asked.is_some() && taken < self.taken {
             return;
         }
-        if taken >= self.taken + APART {
+        if now >= self.heard + APART {
             self.before = self.now_asked().unwrap_or(0.0);
         }
-        (self.asked, self.taken) = (Some(share * self.size), taken);
+        (self.asked, self.taken, self.heard) = (Some(share * self.size), taken, now);
         self.since.retain(|c| c.0 > taken);
     }
 
@@ -301,19 +302,19 @@
         let rack = self.servers[s].rack;
         match figure {
             Figure::Streams(n) => self.servers[s].streams = n,
-            Figure::Link(x) => self.servers[s].link.measured(taken, x),
+            Figure::Link(x) => self.servers[s].link.measured(now, taken, x),
             Figure::LinkCapped(x) => {
                 let known = self.servers[s].link.share();
-                self.servers[s].link.measured(taken, if x >= 1.0 { known.max(1.0) } else { x });
+                self.servers[s].link.measured(now, taken, if x >= 1.0 { known.max(1.0) } else { x });
             }
-            Figure::Uplink(x) => self.racks[rack].measured(taken, x),
+            Figure::Uplink(x) => self.racks[rack].measured(now, taken, x),
             Figure::Delivered(share) => {
                 let by_rack = self.racks[rack].share() > self.servers[s].link.share();
                 let pipe = if by_rack { &mut self.racks[rack] } else { &mut self.servers[s].link };
                 if share < 0.98 {
-                    pipe.measured(taken, 1.0 / share.max(0.05));
+                    pipe.measured(now, taken, 1.0 / share.max(0.05));
                 } else if pipe.share() > 1.0 {
-                    pipe.measured(taken, 1.0);
+                    pipe.measured(now, taken, 1.0);
                 }
             }
         }
@@ -463,7 +464,7 @@
                 self.servers[s].heard(false);
                 self.servers[s].cold_since = now;
             }
-            Outcome::Full => self.servers[s].link.measured(now, 1.0),
+            Outcome::Full => self.servers[s].link.measured(now, now, 1.0),
             _ => {}
         }
         let kb = self.adds(plays, s, &plays[ply], ply, plays[ply].rung);
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,281 @@
+//! Short stories of what went wrong and what the front makes of it.
+
+mod host;
+
+use host::{Host, sheet};
+use pulleystair::{Figure, Next, Outcome, Place, Standing};
+use test_case::test_case;
+
+#[test]
+fn the_roomiest_holder_wins_most_and_the_lottery_leaves_some_to_others() {
+    let mut host = Host::new(&[]);
+    let mut sent = [0; 4];
+    for _ in 0..400 {
+        host.measure(0, 0.1);
+        host.measure(1, 0.7);
+        let ply = host.take(0, 2);
+        sent[host.sent_to(ply).unwrap()] += 1;
+        host.after(ply, Outcome::Withdrawn);
+        host.now += 10_000.0;
+    }
+    assert!(sent[0] > 320 && sent[1] > 10 && sent[0] + sent[1] == 400, "{sent:?}");
+}
+
+#[test]
+fn an_unmeasured_holder_goes_first() {
+    let mut host = Host::new(&[]);
+    host.lines[1].born = host.now - 60_000.0;
+    host.list();
+    let ply = host.take(0, 4);
+    assert_eq!(host.sent_to(ply), Some(1));
+}
+
+#[test_case(0.1, 2; "an empty link carries the top rung")]
+#[test_case(0.6, 1; "a fuller one the middle")]
+#[test_case(1.3, 0; "a full one the floor")]
+fn the_rung_at_set_up_is_the_highest_that_fits(share: f64, expected: usize) {
+    let mut host = Host::new(&[]);
+    host.measure(2, share);
+    let ply = host.take(2, 1);
+    let Place::Send { rung, .. } = host.ask(ply) else { panic!("it is sent") };
+    assert_eq!(rung, expected);
+}
+
+#[test]
+fn a_link_that_blinks_steps_nobody_down_and_one_that_stays_short_does() {
+    let mut host = Host::new(&[]);
+    let (ply, _) = host.start(0, 1);
+    let high = host.plays[ply].rung;
+    host.now += 3000.0;
+    assert!(host.measure(0, 9.0).is_empty(), "one measurement may be a blink");
+    host.now += 3000.0;
+    assert!(host.measure(0, 0.5).is_empty(), "it was");
+    host.now += 3000.0;
+    assert!(host.measure(0, 2.5).is_empty());
+    host.now += 3000.0;
+    assert!(!host.measure(0, 2.5).is_empty(), "two in a row are a shortage");
+    assert!(host.plays[ply].rung < high);
+}
+
+#[test]
+fn two_notes_of_one_moment_are_one_measurement() {
+    let mut host = Host::new(&[]);
+    host.start(0, 1);
+    host.now += 5000.0;
+    for figure in [Figure::Delivered(0.6), Figure::Link(9.0), Figure::Link(9.0)] {
+        assert!(host.front.figure(host.now, &mut host.plays, 0, None, figure).is_empty());
+    }
+}
+
+#[test]
+fn a_front_gives_up_only_its_part_of_a_shortage() {
+    let mut host = Host::new(&[("balancers", 4.0), ("extra.ladder_kb.2", 210.0)]);
+    host.measure(0, 0.0);
+    let plays: Vec<usize> = (0..3).map(|_| host.start(0, 1).0).collect();
+    let before: usize = plays.iter().map(|p| host.plays[*p].rung).sum();
+    for _ in 0..2 {
+        host.now += 4000.0;
+        host.measure(0, 1.02);
+    }
+    let after: usize = plays.iter().map(|p| host.plays[*p].rung).sum();
+    assert!(before - after <= 1, "two hundredths of its own are a step at most: {before} to {after}");
+}
+
+#[test]
+fn a_late_comer_is_not_left_with_the_crumbs() {
+    let mut host = Host::new(&[]);
+    host.measure(0, 0.0);
+    let (first, _) = host.start(0, 1);
+    let (second, _) = host.start(0, 1);
+    let (third, _) = host.start(0, 1);
+    let rungs = [first, second, third].map(|p| host.plays[p].rung);
+    assert!(rungs.iter().all(|r| *r >= 1), "{rungs:?}");
+}
+
+#[test]
+fn a_step_up_waits_for_the_quiet_spell_and_for_room() {
+    let mut host = Host::new(&[]);
+    host.measure(0, 0.8);
+    let (ply, _) = host.start(0, 1);
+    let low = host.plays[ply].rung;
+    assert!(host.front.wait(host.now, &host.plays[ply]).unwrap() >= 5000.0);
+    assert_eq!(host.ask(ply), Place::Stays { rung: low }, "not before its spell is over");
+    host.now += 11_000.0;
+    assert_eq!(host.ask(ply), Place::Stays { rung: low }, "no room yet");
+    host.now += 11_000.0;
+    host.measure(0, 0.1);
+    assert_eq!(host.ask(ply), Place::Stays { rung: low + 1 });
+}
+
+#[test]
+fn a_silent_holder_is_left_after_a_part_of_the_target_and_then_tried_seldom() {
+    let mut host = Host::new(&[]);
+    host.measure(0, 0.0);
+    host.measure(1, 0.9);
+    for _ in 0..3 {
+        let ply = host.take(0, 2);
+        let Place::Send { server, time_out, .. } = host.ask(ply) else { panic!("it is sent") };
+        assert!(time_out < 1000.0, "there is time left for another");
+        if server == 0 {
+            host.now += time_out;
+            assert_eq!(host.after(ply, Outcome::TimedOut), Next::Ask);
+            assert_eq!(host.sent_to(ply), Some(1));
+        }
+    }
+    let tries = (0..20).filter(|_| {
+        let ply = host.take(0, 2);
+        host.sent_to(ply) == Some(0)
+    });
+    assert!(tries.count() <= 1);
+}
+
+#[test]
+fn when_all_holders_look_bad_plays_wait_their_turn_and_are_not_shut_out() {
+    let mut host = Host::new(&[]);
+    for _ in 0..12 {
+        let ply = host.take(0, 2);
+        while let Some(_server) = host.sent_to(ply) {
+            host.after(ply, Outcome::Error);
+        }
+    }
+    host.now += 5000.0;
+    let (first, second) = (host.take(0, 1), host.take(0, 1));
+    assert_eq!(host.sent_to(first), Some(0), "a trial");
+    assert_eq!(host.ask(second), Place::NotYet);
+    host.now += host.front.wait(host.now, &host.plays[second]).unwrap();
+    assert_eq!(host.sent_to(second), Some(0), "in its turn");
+}
+
+#[test_case(true; "listed as just started")]
+#[test_case(false; "seen to fail, not yet listed")]
+fn a_cold_server_is_not_rushed(listed: bool) {
+    let mut host = Host::new(&[("balancers", 2.0)]);
+    if listed {
+        host.lines[0].born = host.now;
+        host.list();
+    } else {
+        let ply = host.take(0, 1);
+        host.ask(ply);
+        host.after(ply, Outcome::Unreachable);
+    }
+    let mut sent = 0;
+    for _ in 0..100 {
+        let ply = host.take(0, 1);
+        sent += usize::from(host.sent_to(ply).is_some());
+        host.now += 10.0;
+    }
+    // 24 places over 12 s, half warm, twice that tips it over: 2 a second, of which 2 fronts take 0.6.
+    assert!(sent <= 1, "{sent} in a second");
+}
+
+#[test]
+fn a_restarted_front_with_an_old_list_treats_every_server_as_cold() {
+    let mut host = Host::new(&[]);
+    let lines = host.lines.clone();
+    host.front = pulleystair::logic::Front::new(sheet(&[], "read_like"), 8);
+    host.front.list(host.now, true, true, &lines);
+    let sent = (0..20).filter(|_| {
+        let ply = host.take(0, 1);
+        host.sent_to(ply).is_some()
+    });
+    assert!(sent.count() <= 1);
+}
+
+#[test_case(Standing::Draining)]
+#[test_case(Standing::Gone)]
+fn nothing_goes_to_a_server_that_leaves(standing: Standing) {
+    let mut host = Host::new(&[]);
+    host.lines[0].standing = standing;
+    host.list();
+    for _ in 0..30 {
+        let ply = host.take(0, 2);
+        assert_ne!(host.sent_to(ply), Some(0));
+    }
+}
+
+#[test_case(Outcome::TimedOut, false; "may have run")]
+#[test_case(Outcome::Full, true; "provably never ran")]
+fn a_paid_set_up_is_sent_again_only_if_it_never_ran(outcome: Outcome, again: bool) {
+    let mut host = Host::of(sheet(&[], "non_idempotent"));
+    let ply = host.take(0, 3);
+    host.ask(ply);
+    assert_eq!(host.after(ply, outcome), Next::Ask);
+    match host.ask(ply) {
+        Place::Send { .. } => assert!(again),
+        answer => assert_eq!((answer, again), (Place::Failed, false)),
+    }
+}
+
+#[test]
+fn a_keyed_set_up_that_may_have_run_stays_in_its_group() {
+    let repeat = [("products.0.repeat_window", 3000.0)];
+    let mut host = Host::of(sheet(&repeat, "idempotency_key"));
+    let ply = host.take(0, 4);
+    let first = host.sent_to(ply).unwrap();
+    host.after(ply, Outcome::TimedOut);
+    assert_eq!(host.sent_to(ply).unwrap() % 2, first % 2, "the same zone");
+    host.after(ply, Outcome::TimedOut);
+    host.now += 3500.0;
+    assert_eq!(host.ask(ply), Place::Failed, "its window is over");
+}
+
+#[test]
+fn seats_hold_from_allocation_to_outcome() {
+    let mut host = Host::new(&[("extra.seats.0", 1.0)]);
+    let (first, second, third) = (host.take(0, 2), host.take(0, 2), host.take(0, 2));
+    assert!(host.sent_to(first).is_some());
+    assert_eq!(host.ask(second), Place::Declined { pause: 500.0 });
+    host.after(first, Outcome::Error);
+    assert!(host.sent_to(third).is_some());
+}
+
+#[test]
+fn further_allocations_keep_to_the_budget() {
+    let budget = [("rules.budget_share", 0.1), ("rules.free_resends", 1.0), ("rules.budget_span", 10_000.0)];
+    let mut host = Host::new(&budget);
+    let mut further = 0;
+    for _ in 0..20 {
+        let ply = host.take(0, 4);
+        host.ask(ply);
+        while host.after(ply, Outcome::Full) == Next::Ask && host.sent_to(ply).is_some() {
+            further += 1;
+        }
+    }
+    assert!((1..=3).contains(&further), "{further}");
+}
+
+#[test]
+fn a_play_takes_no_more_from_a_crowded_server_than_it_brings() {
+    let mut host = Host::new(&[]);
+    let plays: Vec<usize> = (0..8).map(|_| host.start(0, 1).0).collect();
+    for _ in 0..4 {
+        host.now += 4000.0;
+        host.measure(0, 1.3);
+    }
+    assert!(plays.iter().all(|p| host.plays[*p].rung == 0));
+    let ply = host.take(0, 1);
+    assert_eq!(host.ask(ply), Place::Declined { pause: 500.0 }, "at once, with a time to come back");
+}
+
+#[test]
+fn viewers_of_a_live_title_share_a_stream() {
+    let mut host = Host::new(&[("extra.class_live.0", 1.0), ("extra.join", 0.2)]);
+    let (_, first) = host.start(0, 4);
+    for _ in 0..5 {
+        assert_eq!(host.start(0, 4).1, first);
+    }
+}
+
+#[test]
+fn what_other_fronts_may_have_added_counts_against_room() {
+    let rung = |fronts: f64| {
+        let mut host = Host::new(&[("balancers", fronts)]);
+        host.measure(0, 0.1);
+        host.start(0, 1);
+        host.plays[0].top = 0;
+        let ply = host.take(0, 1);
+        let Place::Send { rung, .. } = host.ask(ply) else { panic!("it is sent") };
+        rung
+    };
+    assert!(rung(4.0) < rung(1.0), "{} {}", rung(4.0), rung(1.0));
+}
