--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,7 +19,7 @@
 /// Each other front is reckoned to have added this part of what this one has since a report was taken.
 const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
-const BARGAIN: f64 = 2.0;
+const BARGAIN: f64 = 1.5;
 
 /// What is told of delivery is smoothed: it lags the link by so much more, ms.
 const SMOOTHED: f64 = 1000.0;
@@ -691,8 +691,9 @@
                 };
                 let streams = 1.0 + (unit.len() - 1) as f64 * self.shared;
                 let freed = (self.rate(p, p.rung) - self.rate(p, p.rung - 1)) * streams;
-                let lost =
-                    unit.len() as f64 * product.importance * (self.earns[p.rung] - self.earns[p.rung - 1]);
+                let change = self.rule("extra.change_costs_s", 0.0) / ((QUIET + JITTER) / 1000.0);
+                let step = self.earns[p.rung] - self.earns[p.rung - 1] + change;
+                let lost = unit.len() as f64 * product.importance * step;
                 let per_kb = lost / freed.max(1e-9);
                 if best.as_ref().is_none_or(|b| per_kb < b.0) {
                     best = Some((per_kb, freed, unit));
