--- a/src/logic.rs
+++ b/src/logic.rs
@@ -266,7 +266,8 @@
         let server = plays[ply].server;
         plays[ply].rung = self.products[plays[ply].product].floor;
         (plays[ply].playing, plays[ply].allocations) = (true, 1);
-        plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+        // Its last change is past, so only the jitter is left of its quiet spell.
+        plays[ply].ask_at = now + JITTER * self.rnd.rand_float();
         if let Some(s) = server {
             self.know(s);
             self.servers[s].plays.push(ply);
