--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -240,24 +240,14 @@
                 f.u64()?;
                 f.u8()?;
                 let holders = f.f32()?.max(0.0) as usize;
-                let tenant = f.u32()? as usize;
+                f.u32()?;
                 let title = self.titles.of(f.u64()?);
                 let limit = now + f.ms()?;
                 let first_cell = f.f32()?.max(0.0) as usize;
-                let length = Some(f.ms()?).filter(|l| *l > 0.0);
+                f.ms()?;
                 let product = f.u16()?.into();
-                let play = Play {
-                    product,
-                    tenant,
-                    title,
-                    first_cell,
-                    holders,
-                    top,
-                    came: now,
-                    limit,
-                    length,
-                    ..Play::default()
-                };
+                let play =
+                    Play { product, title, first_cell, holders, top, came: now, limit, ..Play::default() };
                 if !self.front.sells(product) {
                     die(who, &f.fault(&format!("there is no product {product}")), reply);
                     return Ok(());
@@ -269,11 +259,11 @@
             26 => {
                 let id = f.u64()?;
                 let product = f.u16()?.into();
-                let tenant = f.u32()? as usize;
+                f.u32()?;
                 f.u64()?;
                 let title = self.titles.of(f.u64()?);
                 let limit = now + f.ms()?;
-                let length = Some(f.ms()?).filter(|l| *l > 0.0);
+                f.ms()?;
                 let first_cell = f.f32()?.max(0.0) as usize;
                 let holders = f.f32()?.max(0.0) as usize;
                 let top = f.f32()?.max(0.0) as usize;
@@ -281,14 +271,12 @@
                 let server = Some(self.server(f.u32()?));
                 let play = Play {
                     product,
-                    tenant,
                     title,
                     first_cell,
                     holders,
                     top,
                     came: now,
                     limit,
-                    length,
                     server,
                     ..Play::default()
                 };
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,4 +1,5 @@
-//! Plays pulleystair's decisions on the bench's wire: frames in on standard input, replies out on standard output.
+//! Plays pulleystair's decisions on the bench's wire: frames come in on standard input, replies go out on
+//! standard output.
 
 mod frame;
 mod host;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Play {
     pub product: usize,
-    pub tenant: usize,
     pub title: usize,
     /// The title's holders are `holders` cells in a row from `first_cell`.
     pub first_cell: usize,
@@ -31,8 +30,6 @@
     pub came: f64,
     /// The clock time at which the viewer gives up on a set-up.
     pub limit: f64,
-    /// Expected length, where the site gives one.
-    pub length: Option<f64>,
 
     // The rest is written by the decisions; a caller reads `over` and `server`.
     /// Has had its final answer, or has ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
-//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts as they
-//! come (`list`, `take`, `adopt`, `figure`, `rung_told`, `left`), and asks three things of it: `place` (where
-//! to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
-//! the play is to be asked about again). The plain values that pass are defined in `src/lib.rs`.
+//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts as
+//! they come (`list`, `take`, `adopt`, `figure`, `rung_told`, `left`), and asks three things of it: `place`
+//! (where to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how
+//! long until the play is to be asked about again). The plain values that pass are defined in `src/lib.rs`.
 
 use crate::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Standing, Steps, Value};
 use std::collections::{BTreeMap, VecDeque};
@@ -14,13 +14,13 @@
 /// Quiet spell before a step up, and the random addition to it, ms.
 const QUIET: f64 = 5_000.0;
 const JITTER: f64 = 5_000.0;
-/// Room left for the spread of true rates: that of one play over its ladder rate.
+/// Room left for the spread of true rates and for late figures, in parts of a play's rate over the root of
+/// the number of plays.
 const SPREAD: f64 = 0.3;
 /// Each other front is reckoned to have added this part of what this one has since a report was taken.
 const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
-
 /// What is told of delivery is smoothed: it lags the link by so much more, ms.
 const SMOOTHED: f64 = 1000.0;
 /// Part of what would push a cold server over that all fronts together send it.
@@ -28,6 +28,11 @@
 /// Measurements heard closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
+/// What viewers of a live title share at a server.
+fn stream(play: &Play) -> (usize, usize, usize) {
+    (play.title, play.product, play.rung)
+}
+
 struct Product {
     importance: f64,
     target: f64,
@@ -70,7 +75,8 @@
         self.before += kb;
     }
 
-    /// Asked over given where two measurements in a row say so: one alone may be a blink of the link or noise.
+    /// Asked over given where two measurements in a row say so. Guards against blinking links and noise, and
+    /// should against any single wrong figure; a real shortage is answered one measurement later.
     fn steady_share(&self) -> f64 {
         self.share().min(self.before / self.size)
     }
@@ -127,6 +133,8 @@
     seats: BTreeMap<(usize, usize), usize>,
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
+    /// When a cached list made all servers count as cold.
+    cached: f64,
 }
 
 fn number(sheet: &CallSheet, name: &str, otherwise: f64) -> f64 {
@@ -188,6 +196,7 @@
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
+            cached: -1.0,
             sheet,
         }
     }
@@ -203,6 +212,10 @@
         asked.then_some(if failed { 1000.0 } else { 0.0 })
     }
 
+    fn spell(&mut self) -> f64 {
+        QUIET + JITTER * self.rnd.rand_float()
+    }
+
     fn know(&mut self, s: usize) {
         if s >= self.servers.len() {
             self.servers.resize_with(s + 1, Server::default);
@@ -229,34 +242,29 @@
                 (s.link.asked, s.streams) = (None, 0.0);
                 s.outcomes.clear();
             }
-            s.cold_since = s.cold_since.max(line.born);
-            if cached {
-                s.cold_since = now;
-            }
+            s.cold_since = if cached { now } else { s.cold_since.max(line.born) };
             (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
             s.listing = *line;
         }
-        let mean = self.rule("extra.rack_link_kb", 1.0);
-        let mut links = vec![0.0; self.racks.len()];
-        for s in self.servers.iter().filter(|s| s.listing.standing == Standing::Ready) {
-            links[s.rack] += s.link.size;
+        let (mean, cells) = (self.rule("extra.rack_link_kb", 1.0), self.rule("extra.places", 1.0));
+        let racks = self.racks.len() as f64;
+        for (r, rack) in self.racks.iter_mut().enumerate() {
+            let own = ((cells - r as f64) / racks).ceil();
+            rack.size = (mean * racks * own / cells).max(1.0);
         }
-        let all: f64 = links.iter().sum();
-        for (rack, link) in self.racks.iter_mut().zip(&links) {
-            if rack.size == 0.0 && all > 0.0 {
-                rack.size = (mean * link * links.len() as f64 / all).max(1.0);
-            }
-        }
-        if whole && !cached {
-            for s in &mut self.servers {
-                s.cold_since = s.cold_since.min(s.listing.born);
-            }
+        if cached {
+            self.cached = now;
+        } else if whole {
+            let vouched = self.servers.iter_mut().filter(|s| s.cold_since == self.cached);
+            vouched.for_each(|s| s.cold_since = s.listing.born);
         }
     }
 
     /// A play was taken.
     pub fn take(&mut self, now: f64, play: &mut Play) {
-        self.taken.push_back(now);
+        if self.sheet.contains_key("rules.budget_share") {
+            self.taken.push_back(now);
+        }
         play.ask_at = now;
         play.rung = self.products[play.product].floor;
     }
@@ -284,7 +292,7 @@
         plays[ply].over = true;
     }
 
-    /// What a server told of itself, or a note about it on play `of`. Answers the steps down that this asks for.
+    /// What a server told of itself, or a note about it on play `of`. Answers the steps down that it asks for.
     pub fn figure(
         &mut self,
         now: f64,
@@ -319,7 +327,7 @@
                 }
             }
         }
-        // Short of room: this front's plays there give up their part of the excess, as every other front's do.
+        // Short of room: this front's plays there give up their part, as every other front's do.
         let mut steps = Vec::new();
         let uplink = self.racks[rack].steady_share() > self.servers[s].link.steady_share();
         let pipe = if uplink { &self.racks[rack] } else { &self.servers[s].link };
@@ -381,8 +389,8 @@
         if open.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
-        // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream it
-        // already and have room come before all others.
+        // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream
+        // it already and have room come before all others.
         let streams_it = |s: &usize| {
             let same = |o: &usize| (plays[*o].title, plays[*o].product) == (title, product);
             self.products[product].live && self.shared < 1.0 && self.servers[*s].plays.iter().any(same)
@@ -421,9 +429,9 @@
         let (rung, steps) = self.rung_for(now, plays, ply, server);
         let kb = self.adds(plays, server, &plays[ply], ply, rung);
         self.load(now, server, kb);
-        self.spend_pace(now, server);
+        self.servers[server].next_pace = now + self.gap(now, server);
         let play = &mut plays[ply];
-        if play.allocations > 0 {
+        if play.allocations > 0 && self.sheet.contains_key("rules.budget_share") {
             self.further.push_back(now);
         }
         let target = play.came + self.products[product].target;
@@ -453,7 +461,7 @@
         };
         if outcome == Outcome::Playing {
             (plays[ply].playing, plays[ply].started) = (true, now);
-            plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+            plays[ply].ask_at = now + self.spell();
             self.servers[s].heard(true);
             return Next::Nothing;
         }
@@ -555,19 +563,19 @@
         Place::Declined { pause: if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 } }
     }
 
-    /// Whether a play at its lowest rung would take more importance from those at the server than it brings:
-    /// the link or uplink stays short though nothing of this front's there can step down any more. Guards
-    /// against floods that no rung can carry, whatever brings them.
+    /// Whether a play at its lowest rung would take more importance from those at the server than it brings,
+    /// as the link or uplink stays short. Guards against floods that no rung can carry and against links that
+    /// have shrunk under their plays; sends a viewer off for nothing where the shortage has just ended.
     fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
         let server = &self.servers[s];
         let rack = &self.racks[server.rack];
         let uplink = rack.steady_share() > server.link.steady_share();
         let pipe = if uplink { rack } else { &server.link };
         let short = pipe.steady_share() - 1.0;
-        let scope = self.scope(s, uplink);
         if short <= 0.0 {
             return false;
         }
+        let scope = self.scope(s, uplink);
         let stall = self.rule("extra.stall_cost", 0.0);
         let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
         let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
@@ -577,12 +585,18 @@
         brings <= takes
     }
 
-    /// When the server may next be sent to. Cold ones by this front's part of the warm-up's pace; fronts take
-    /// turns by rank, so that their parts do not fall together. Doubted ones at the same pace.
+    /// When the server may next be sent to: cold and doubted ones by this front's part of the warm-up's pace.
+    /// Fronts take their first turns by rank, so that their parts do not fall together. Guards against
+    /// rushing what has just come back, listed or not, and gives what fails or is silent a way back by few
+    /// trials; it makes plays wait whose holders all look so.
     fn pace(&self, now: f64, s: usize) -> f64 {
         let server = &self.servers[s];
         let cold = now < server.cold_since + self.rule("rules.cold", 0.0);
-        if cold || server.health() < DOUBTED { server.next_pace.max(self.turn(s)) } else { now }
+        if !cold && server.health() >= DOUBTED {
+            return now;
+        }
+        let first = server.cold_since + self.gap(server.cold_since, s) * self.rank / self.fronts;
+        server.next_pace.max(first)
     }
 
     fn gap(&self, now: f64, s: usize) -> f64 {
@@ -595,15 +609,6 @@
         self.fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
     }
 
-    fn turn(&self, s: usize) -> f64 {
-        let start = self.servers[s].cold_since;
-        start + self.gap(start, s) * self.rank / self.fronts
-    }
-
-    fn spend_pace(&mut self, now: f64, s: usize) {
-        self.servers[s].next_pace = now + self.gap(now, s);
-    }
-
     // ---- room and rungs ----
 
     /// The one room figure: what the link and its rack's uplink both still carry, less the margin.
@@ -631,24 +636,17 @@
 
     /// What this play at this rung adds to a server: of a live title that already streams there, only `join`.
     fn adds(&self, plays: &[Play], s: usize, play: &Play, ply: usize, rung: usize) -> f64 {
-        let shared = self.products[play.product].live
-            && self.servers[s].plays.iter().any(|o| {
-                let other = &plays[*o];
-                *o != ply && (other.title, other.product, other.rung) == (play.title, play.product, rung)
-            });
+        let same = |o: &usize| *o != ply && stream(&plays[*o]) == (play.title, play.product, rung);
+        let shared = self.products[play.product].live && self.servers[s].plays.iter().any(same);
         self.rate(play, rung) * if shared { self.shared } else { 1.0 }
     }
 
     fn own(&self, plays: &[Play], s: usize) -> f64 {
         let at = &self.servers[s].plays;
-        let before = |i: usize, p: &Play| {
-            at[..i]
-                .iter()
-                .any(|o| (plays[*o].title, plays[*o].product, plays[*o].rung) == (p.title, p.product, p.rung))
-        };
         let part = |(i, ply): (usize, &usize)| {
             let p = &plays[*ply];
-            let shared = self.products[p.product].live && before(i, p);
+            let before = || at[..i].iter().any(|o| stream(&plays[*o]) == stream(p));
+            let shared = self.products[p.product].live && before();
             self.rate(p, p.rung) * if shared { self.shared } else { 1.0 }
         };
         at.iter().enumerate().map(part).sum()
@@ -675,13 +673,10 @@
             for (i, ply) in self.servers[*s].plays.iter().enumerate() {
                 let p = &plays[*ply];
                 let product = &self.products[p.product];
-                if *ply == but || p.rung <= product.floor {
+                if *ply == but || p.over || p.rung <= product.floor {
                     continue;
                 }
-                let with = |o: &&usize| {
-                    let o = &plays[**o];
-                    (o.title, o.product, o.rung) == (p.title, p.product, p.rung)
-                };
+                let with = |o: &&usize| stream(&plays[**o]) == stream(p);
                 if product.live && self.servers[*s].plays[..i].iter().any(|o| with(&o)) {
                     continue;
                 }
@@ -708,7 +703,7 @@
         for ply in unit {
             let p = &mut plays[*ply];
             p.rung -= 1;
-            p.ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+            p.ask_at = now + self.spell();
             steps.retain(|s| s.0 != *ply);
             steps.push((*ply, p.rung));
         }
@@ -756,7 +751,7 @@
         let Some(s) = plays[ply].server.filter(|_| now >= plays[ply].ask_at - 0.01) else {
             return (Place::Stays { rung }, Vec::new());
         };
-        plays[ply].ask_at = now + QUIET + JITTER * self.rnd.rand_float();
+        plays[ply].ask_at = now + self.spell();
         if rung < top && s < self.servers.len() {
             let more =
                 self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -179,6 +179,9 @@
         host.sent_to(ply).is_some()
     });
     assert!(sent.count() <= 1);
+    host.list();
+    let ply = host.take(0, 1);
+    assert_eq!(host.sent_to(ply), Some(0), "discovery has vouched for it");
 }
 
 #[test_case(Standing::Draining)]
