--- a/src/logic.rs
+++ b/src/logic.rs
@@ -292,7 +292,7 @@
         plays[ply].over = true;
     }
 
-    /// What a server told of itself, or a note about it on play `of`. Answers the steps down that it asks for.
+    /// What a server told of itself, or a note about it on play `of`. Answers the steps down it asks for.
     pub fn figure(
         &mut self,
         now: f64,
