--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,6 @@
 const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
-/// What is told of delivery is smoothed: it lags the link by so much more, ms.
-const SMOOTHED: f64 = 1000.0;
 /// Part of what would push a cold server over that all fronts together send it.
 const PACED: f64 = 0.6;
 /// Measurements heard closer than this are of one moment, ms.
@@ -303,8 +301,7 @@
     ) -> Steps {
         // The note at set-up is of now; all else is as late as notes are.
         let fresh = of.is_some_and(|ply| plays[ply].started == now);
-        let smoothed = if matches!(figure, Figure::Delivered(_)) { SMOOTHED } else { 0.0 };
-        let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) - smoothed };
+        let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) };
         if s >= self.servers.len() {
             return Vec::new();
         }
@@ -402,10 +399,7 @@
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
         let unmeasured: Vec<usize> =
             open.iter().copied().filter(|s| self.servers[*s].link.asked.is_none()).collect();
-        let rooms: Vec<f64> = open
-            .iter()
-            .map(|s| self.room(plays, *s).max(0.0) * self.servers[*s].health() * self.near(*s))
-            .collect();
+        let rooms: Vec<f64> = open.iter().map(|s| self.room(plays, *s).max(0.0)).collect();
         let total: f64 = rooms.iter().sum();
         let server = if !unmeasured.is_empty() {
             unmeasured[self.rnd.rand_range(0..unmeasured.len() as u64) as usize]
@@ -501,12 +495,6 @@
 
     // ---- holders ----
 
-    /// What a server's room counts for in the draw: half where a play crosses zones and that has its price.
-    fn near(&self, s: usize) -> f64 {
-        let crosses = self.servers[s].listing.zone as f64 != self.rule("zone", 0.0);
-        if crosses && self.rule("costs.cross_zone", 0.0) > 0.0 { 0.5 } else { 1.0 }
-    }
-
     fn holds(&self, s: usize, play: &Play) -> bool {
         let at = &self.servers[s].listing;
         let cells = (self.rule("extra.places", 1.0) as usize).max(1);
