--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -67,6 +67,20 @@
     }
 }
 
+#[test]
+fn a_server_that_falls_silent_steps_down_nobody_elsewhere_in_its_rack() {
+    let mut host = Host::new(&[]);
+    let (beside, _) = host.start(2, 1);
+    host.start(0, 1);
+    let rung = host.plays[beside].rung;
+    for _ in 0..6 {
+        host.now += 1000.0;
+        host.front.figure(host.now, &mut host.plays, 0, Some(1), Figure::Delivered(0.05));
+    }
+    assert!(rung > 0 && host.plays[beside].rung == rung);
+    assert_eq!(host.plays[1].rung, 0, "its own plays give way");
+}
+
 #[test]
 fn a_front_gives_up_only_its_part_of_a_shortage() {
     let mut host = Host::new(&[("balancers", 4.0), ("extra.ladder_kb.2", 210.0)]);
