--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -72,6 +72,7 @@
     let mut host = Host::new(&[]);
     let (beside, _) = host.start(2, 1);
     host.start(0, 1);
+    host.front.figure(host.now, &mut host.plays, 0, None, Figure::Uplink(0.7));
     let rung = host.plays[beside].rung;
     for _ in 0..6 {
         host.now += 1000.0;
