End a moment of measurements; reckon that other fronts cut as much as this one

Covers any shortage that many fronts see; harms one that only this front can end, by a report's time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,8 @@
 const SPREAD: f64 = 0.3;
 /// Each other front is reckoned to have added this part of what this one has since a report was taken.
 const OTHERS: f64 = 0.5;
+/// And to have cut this part of what this one has cut.
+const CUTS: f64 = 1.0;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
 /// Part of what would push a cold server over that all fronts together send it.
@@ -52,8 +54,10 @@
     /// The measurement before that one, with what this front has changed since.
     before: f64,
     taken: f64,
+    /// When the present moment of measurements began.
     heard: f64,
     since: VecDeque<(f64, f64)>,
+    others: f64,
 }
 
 impl Pipe {
@@ -62,21 +66,23 @@
             return;
         }
         if now >= self.heard + APART {
-            self.before = self.now_asked().unwrap_or(0.0);
+            (self.before, self.heard) = (self.now_asked().unwrap_or(0.0), now);
         }
-        (self.asked, self.taken, self.heard) = (Some(share * self.size), taken, now);
+        (self.asked, self.taken) = (Some(share * self.size), taken);
         self.since.retain(|c| c.0 > taken);
     }
 
     fn change(&mut self, now: f64, kb: f64) {
         self.since.push_back((now, kb));
-        self.before += kb;
+        self.before += if kb < 0.0 { kb * (1.0 + CUTS * self.others) } else { kb };
     }
 
     /// Asked over given where two measurements in a row say so. Guards against blinking links and noise, and
     /// should against any single wrong figure; a real shortage is answered one measurement later.
     fn steady_share(&self) -> f64 {
-        self.share().min(self.before / self.size)
+        let own: f64 = self.since.iter().map(|c| c.1).sum();
+        let cut = CUTS * self.others * own.min(0.0) / self.size;
+        (self.share() + cut).min(self.before / self.size)
     }
 
     fn now_asked(&self) -> Option<f64> {
@@ -190,7 +196,9 @@
             products,
             shared: number(&sheet, "extra.join", 1.0),
             servers: Vec::new(),
-            racks: (0..racks).map(|_| Pipe::default()).collect(),
+            racks: (0..racks)
+                .map(|_| Pipe { others: number(&sheet, "balancers", 1.0) - 1.0, ..Pipe::default() })
+                .collect(),
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -241,6 +249,7 @@
                 s.outcomes.clear();
             }
             s.cold_since = if cached { now } else { s.cold_since.max(line.born) };
+            s.link.others = self.fronts - 1.0;
             (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
             s.listing = *line;
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -67,6 +67,22 @@
     }
 }
 
+#[test]
+fn a_rack_whose_servers_tell_without_pause_is_cut_and_by_this_fronts_part_only() {
+    let mut host = Host::new(&[("balancers", 4.0), ("extra.rack_link_kb", 9000.0)]);
+    let plays: Vec<usize> = (0..10).map(|i| host.start(2 * (i % 2), 1).0).collect();
+    plays.iter().for_each(|p| host.plays[*p].rung = 2);
+    let before = 20;
+    host.now += 5000.0;
+    for i in 0..10 {
+        host.now += 200.0;
+        host.front.figure(host.now, &mut host.plays, 2 * (i % 2), None, Figure::Uplink(1.2));
+    }
+    let stepped = before - plays.iter().map(|p| host.plays[*p].rung).sum::<usize>();
+    // A sixth of its own 4000 kB is short, and a step frees 200.
+    assert!((1..=5).contains(&stepped), "{stepped} of {before}");
+}
+
 #[test]
 fn a_server_that_falls_silent_steps_down_nobody_elsewhere_in_its_rack() {
     let mut host = Host::new(&[]);
