--- a/src/logic.rs
+++ b/src/logic.rs
@@ -717,7 +717,10 @@
         let product = &self.products[plays[ply].product];
         let (floor, importance) = (product.floor, product.importance);
         let top = plays[ply].top.min(product.top).min(self.ladder.len() - 1).max(floor);
+        // Other fronts read the same room: with more of them a set-up leaves more of it. Guards against all
+        // filling it at once; with one front the whole room counts.
         let mut room = self.room(plays, s);
+        room *= if room > 0.0 { 2.0 / (1.0 + self.fronts) } else { 1.0 };
         let fits = |r: &usize| self.adds(plays, s, &plays[ply], ply, *r) <= room;
         let mut rung = (floor..=top).rev().find(fits).unwrap_or(floor);
         room -= self.adds(plays, s, &plays[ply], ply, rung);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -74,12 +74,14 @@
     plays.iter().for_each(|p| host.plays[*p].rung = 2);
     let before = 20;
     host.now += 5000.0;
-    for i in 0..10 {
+    host.measure(0, 0.3);
+    host.measure(2, 0.3);
+    for i in 0..6 {
         host.now += 200.0;
         host.front.figure(host.now, &mut host.plays, 2 * (i % 2), None, Figure::Uplink(1.2));
     }
     let stepped = before - plays.iter().map(|p| host.plays[*p].rung).sum::<usize>();
-    // A sixth of its own 4000 kB is short, and a step frees 200.
+    // A sixth of its own 4000 kB is short, a step frees 200, and no report has seen the steps yet.
     assert!((1..=5).contains(&stepped), "{stepped} of {before}");
 }
 
@@ -300,6 +302,16 @@
     }
 }
 
+#[test_case(1.0, 2)]
+#[test_case(4.0, 1; "other fronts read the same room")]
+fn a_set_up_leaves_room_to_the_other_fronts(fronts: f64, expected: usize) {
+    let mut host = Host::new(&[("balancers", fronts)]);
+    host.measure(0, 0.3);
+    let ply = host.take(0, 1);
+    let Place::Send { rung, .. } = host.ask(ply) else { panic!("it is sent") };
+    assert_eq!(rung, expected);
+}
+
 #[test]
 fn what_other_fronts_may_have_added_counts_against_room() {
     let rung = |fronts: f64| {
