Say things once: own changes, the shorter pipe, a rung's next cost, what may have run

Own changes of a pipe were summed in three places, the shorter of link and uplink chosen in two, the cost of the next rung in two; rack sizes, which come from the call sheet alone, were worked out on every list; may_have_run said no more than ran_at.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,9 +39,7 @@
     pub playing: bool,
     pub rung: usize,
     pub allocations: usize,
-    /// An earlier allocation may have run at its server.
-    pub may_have_run: bool,
-    /// The server that this may have happened at, and when it was sent there.
+    /// The first server that an earlier allocation may have run at, and when it was sent there.
     pub ran_at: Option<(usize, f64)>,
     pub tried: Vec<usize>,
     pub sent: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,13 +80,16 @@
     /// Asked over given where two measurements in a row say so. Guards against blinking links and noise, and
     /// should against any single wrong figure; a real shortage is answered one measurement later.
     fn steady_share(&self) -> f64 {
-        let own: f64 = self.since.iter().map(|c| c.1).sum();
-        let cut = CUTS * self.others * own.min(0.0) / self.size;
+        let cut = CUTS * self.others * self.own_change().min(0.0) / self.size;
         (self.share() + cut).min(self.before / self.size)
     }
 
     fn now_asked(&self) -> Option<f64> {
-        self.asked.map(|a| (a + self.since.iter().map(|c| c.1).sum::<f64>()).max(0.0))
+        self.asked.map(|a| (a + self.own_change()).max(0.0))
+    }
+
+    fn own_change(&self) -> f64 {
+        self.since.iter().map(|c| c.1).sum()
     }
 
     fn share(&self) -> f64 {
@@ -187,6 +190,13 @@
         let count = (0..).take_while(|i| sheet.contains_key(&format!("products.{i}.importance"))).count();
         let products = (0..count).map(product).collect();
         let racks = number(&sheet, "extra.cabinets", 1.0).max(1.0) as usize;
+        // A rack's share of all uplinks goes by its part of the cells.
+        let (mean, cells) = (number(&sheet, "extra.rack_link_kb", 1.0), number(&sheet, "extra.places", 1.0));
+        let others = number(&sheet, "balancers", 1.0).max(1.0) - 1.0;
+        let rack = |r: usize| {
+            let own = ((cells - r as f64) / racks as f64).ceil();
+            Pipe { size: (mean * racks as f64 * own / cells).max(1.0), others, ..Pipe::default() }
+        };
         Front {
             rnd: oorandom::Rand64::new(seed.into()),
             fronts: number(&sheet, "balancers", 1.0).max(1.0),
@@ -196,9 +206,7 @@
             products,
             shared: number(&sheet, "extra.join", 1.0),
             servers: Vec::new(),
-            racks: (0..racks)
-                .map(|_| Pipe { others: number(&sheet, "balancers", 1.0) - 1.0, ..Pipe::default() })
-                .collect(),
+            racks: (0..racks).map(rack).collect(),
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -253,12 +261,6 @@
             (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
             s.listing = *line;
         }
-        let (mean, cells) = (self.rule("extra.rack_link_kb", 1.0), self.rule("extra.places", 1.0));
-        let racks = self.racks.len() as f64;
-        for (r, rack) in self.racks.iter_mut().enumerate() {
-            let own = ((cells - r as f64) / racks).ceil();
-            rack.size = (mean * racks * own / cells).max(1.0);
-        }
         if cached {
             self.cached = now;
         } else if whole {
@@ -337,8 +339,7 @@
         }
         // Short of room: this front's plays there give up their part, as every other front's do.
         let mut steps = Vec::new();
-        let uplink = self.racks[rack].steady_share() > self.servers[s].link.steady_share();
-        let pipe = if uplink { &self.racks[rack] } else { &self.servers[s].link };
+        let (uplink, pipe) = self.shorter(s);
         let share = pipe.steady_share();
         if share > 1.0 {
             let scope = self.scope(s, uplink);
@@ -489,7 +490,6 @@
         }
         let play = &mut plays[ply];
         if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
-            play.may_have_run = true;
             play.ran_at.get_or_insert((s, play.sent));
         }
         play.server = None;
@@ -524,7 +524,7 @@
     /// Whether the rules leave room for one more allocation of a play that had some.
     fn may_allocate_again(&mut self, now: f64, play: &Play) -> bool {
         let product = &self.products[play.product];
-        let repeatable = !play.may_have_run
+        let repeatable = play.ran_at.is_none()
             || match product.effect.as_str() {
                 "non_idempotent" => false,
                 "idempotency_key" => play.ran_at.is_none_or(|(_, sent)| now - sent < product.repeat_window),
@@ -551,8 +551,8 @@
         play.over = true;
         let product = &self.products[play.product];
         let refusable = match product.effect.as_str() {
-            "non_idempotent" => !play.may_have_run,
-            "idempotency_key" => !play.may_have_run || product.group == "all",
+            "non_idempotent" => play.ran_at.is_none(),
+            "idempotency_key" => play.ran_at.is_none() || product.group == "all",
             _ => true,
         };
         if !refusable {
@@ -566,10 +566,7 @@
     /// as the link or uplink stays short. Guards against floods that no rung can carry and against links that
     /// have shrunk under their plays; sends a viewer off for nothing where the shortage has just ended.
     fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
-        let server = &self.servers[s];
-        let rack = &self.racks[server.rack];
-        let uplink = rack.steady_share() > server.link.steady_share();
-        let pipe = if uplink { rack } else { &server.link };
+        let (uplink, pipe) = self.shorter(s);
         let short = pipe.steady_share() - 1.0;
         if short <= 0.0 {
             return false;
@@ -614,8 +611,7 @@
     fn room(&self, plays: &[Play], s: usize) -> f64 {
         let middle = self.ladder.get(self.ladder.len() / 2).copied().unwrap_or(0.0);
         let free = |pipe: &Pipe, asked: f64| {
-            let own: f64 = pipe.since.iter().map(|c| c.1).sum();
-            let others = (self.fronts - 1.0) * OTHERS * own.max(0.0);
+            let others = (self.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
             pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
         };
         let server = &self.servers[s];
@@ -640,6 +636,11 @@
         self.rate(play, rung) * if shared { self.shared } else { 1.0 }
     }
 
+    /// What its next rung adds to that.
+    fn next_rung(&self, plays: &[Play], s: usize, ply: usize, rung: usize) -> f64 {
+        self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung)
+    }
+
     fn own(&self, plays: &[Play], s: usize) -> f64 {
         let at = &self.servers[s].plays;
         let part = |(i, ply): (usize, &usize)| {
@@ -657,6 +658,12 @@
         self.racks[rack].change(now, kb);
     }
 
+    /// The shorter of a server's link and its rack's uplink, and whether that is the uplink.
+    fn shorter(&self, s: usize) -> (bool, &Pipe) {
+        let (link, rack) = (&self.servers[s].link, &self.racks[self.servers[s].rack]);
+        if rack.steady_share() > link.steady_share() { (true, rack) } else { (false, link) }
+    }
+
     fn scope(&self, s: usize, uplink: bool) -> Vec<usize> {
         if !uplink {
             return vec![s];
@@ -727,8 +734,7 @@
         let scope = self.scope(s, self.racks[self.servers[s].rack].share() > self.servers[s].link.share());
         let mut steps = Vec::new();
         while rung < top {
-            let more =
-                self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung);
+            let more = self.next_rung(plays, s, ply, rung);
             if more <= room {
                 rung += 1;
                 room -= more;
@@ -755,8 +761,7 @@
         };
         plays[ply].ask_at = now + self.spell();
         if rung < top && s < self.servers.len() {
-            let more =
-                self.adds(plays, s, &plays[ply], ply, rung + 1) - self.adds(plays, s, &plays[ply], ply, rung);
+            let more = self.next_rung(plays, s, ply, rung);
             if more <= self.room(plays, s) / self.fronts {
                 plays[ply].rung += 1;
                 self.load(now, s, more);
