--- a/src/logic.rs
+++ b/src/logic.rs
@@ -326,8 +326,8 @@
             }
             Figure::Uplink(x) => self.racks[rack].measured(now, taken, x),
             Figure::Delivered(share) => {
-                // A rack is short for all its servers: one that delivers short beside a rack with room is short
-                // itself. Guards against a silent server's notes cutting its whole rack.
+                // A rack is short for all its servers: one that delivers short beside a rack with room is
+                // short itself. Guards against a silent server's notes cutting its whole rack.
                 let by_rack = self.racks[rack].share() > self.servers[s].link.share().max(0.9);
                 let pipe = if by_rack { &mut self.racks[rack] } else { &mut self.servers[s].link };
                 if share < 0.98 {
