Find holders and racks by cell; places are read once a listing

Every decision walked all servers and built setting names inside those walks. Holders come from the title's cells and a rack's servers from its cells now; an unmeasured server counts as the running mean of what was heard.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -103,6 +103,8 @@
     listing: Listing,
     link: Pipe,
     rack: usize,
+    /// Streams that it runs at most, and those it was last known to run.
+    places: f64,
     streams: f64,
     outcomes: VecDeque<bool>,
     /// Since when it counts as cold: its start, or the last sign that its process may have been lost.
@@ -136,7 +138,11 @@
     /// The part of its rate that a further viewer adds to a live stream.
     shared: f64,
     servers: Vec<Server>,
+    /// The listed servers of each cell, and the uplink of each rack.
+    cells: Vec<Vec<usize>>,
     racks: Vec<Pipe>,
+    /// Running mean of the links' shares heard, which stands in for servers that are not measured.
+    mean: f64,
     seats: BTreeMap<(usize, usize), usize>,
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
@@ -206,6 +212,8 @@
             products,
             shared: number(&sheet, "extra.join", 1.0),
             servers: Vec::new(),
+            cells: vec![Vec::new(); cells.max(1.0) as usize],
+            mean: 0.5,
             racks: (0..racks).map(rack).collect(),
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
@@ -260,6 +268,12 @@
             s.link.others = self.fronts - 1.0;
             (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
             s.listing = *line;
+            s.places = number(&self.sheet, &format!("extra.places_by_kind.{}", line.kind), f64::MAX);
+        }
+        self.cells.iter_mut().for_each(Vec::clear);
+        for (s, server) in self.servers.iter().enumerate().filter(|s| s.1.listing.standing != Standing::Gone) {
+            let cell = server.listing.cell % self.cells.len();
+            self.cells[cell].push(s);
         }
         if cached {
             self.cached = now;
@@ -317,6 +331,9 @@
             return Vec::new();
         }
         let rack = self.servers[s].rack;
+        if let Figure::Link(x) | Figure::LinkCapped(x) = figure {
+            self.mean += (x.min(1.0) - self.mean) / 16.0;
+        }
         match figure {
             Figure::Streams(n) => self.servers[s].streams = n,
             Figure::Link(x) => self.servers[s].link.measured(now, taken, x),
@@ -374,8 +391,7 @@
         }
 
         // Holders that may be sent to at all; those that failed this play only if there are no others.
-        let mut holders: Vec<usize> =
-            (0..self.servers.len()).filter(|s| self.holds(*s, &plays[ply])).collect();
+        let mut holders = self.holders(&plays[ply]);
         let fresh: Vec<usize> = holders.iter().copied().filter(|s| !plays[ply].tried.contains(s)).collect();
         if !fresh.is_empty() {
             holders = fresh;
@@ -506,19 +522,23 @@
 
     // ---- holders ----
 
-    fn holds(&self, s: usize, play: &Play) -> bool {
-        let at = &self.servers[s].listing;
-        let cells = (self.rule("extra.places", 1.0) as usize).max(1);
-        let within = (at.cell + cells - play.first_cell % cells) % cells < play.holders;
-        let places = self.rule(&format!("extra.places_by_kind.{}", at.kind), f64::MAX);
-        let streams = self.servers[s].streams.max(self.servers[s].plays.len() as f64);
+    /// The title's holders that this play may go to.
+    fn holders(&self, play: &Play) -> Vec<usize> {
+        let count = self.cells.len();
+        let row = (0..play.holders.min(count)).map(|i| (play.first_cell + i) % count);
+        row.flat_map(|c| &self.cells[c]).copied().filter(|s| self.may_take(*s, play)).collect()
+    }
+
+    fn may_take(&self, s: usize, play: &Play) -> bool {
+        let server = &self.servers[s];
+        let at = &server.listing;
         let same = play.ran_at.is_none_or(|(r, _)| match self.products[play.product].group.as_str() {
             _ if self.products[play.product].effect != "idempotency_key" => true,
             "zone" => self.servers[r].listing.zone == at.zone,
             "cell" => self.servers[r].listing.cell == at.cell,
             _ => true,
         });
-        at.standing == Standing::Ready && within && same && streams < places
+        at.standing == Standing::Ready && same && server.streams.max(server.plays.len() as f64) < server.places
     }
 
     /// Whether the rules leave room for one more allocation of a play that had some.
@@ -598,7 +618,7 @@
     fn gap(&self, now: f64, s: usize) -> f64 {
         let server = &self.servers[s];
         let warm_up = self.rule("rules.cold", 0.0).max(1.0);
-        let places = self.rule(&format!("extra.places_by_kind.{}", server.listing.kind), 1.0).max(1.0);
+        let places = if server.places < f64::MAX { server.places.max(1.0) } else { 1.0 };
         let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
         let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
         let pace = places / warm_up * (from + (1.0 - from) * warmed);
@@ -615,12 +635,8 @@
             pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
         };
         let server = &self.servers[s];
-        let link = server.link.now_asked().unwrap_or_else(|| {
-            let known: Vec<f64> =
-                self.servers.iter().filter(|o| o.link.asked.is_some()).map(|o| o.link.share()).collect();
-            let average = if known.is_empty() { 0.5 } else { known.iter().sum::<f64>() / known.len() as f64 };
-            (average * server.link.size).max(self.own(plays, s) * self.fronts)
-        });
+        let guess = || (self.mean * server.link.size).max(self.own(plays, s) * self.fronts);
+        let link = server.link.now_asked().unwrap_or_else(guess);
         let rack = &self.racks[server.rack];
         free(&server.link, link).min(free(rack, rack.now_asked().unwrap_or(0.5 * rack.size)))
     }
@@ -668,7 +684,8 @@
         if !uplink {
             return vec![s];
         }
-        (0..self.servers.len()).filter(|o| self.servers[*o].rack == self.servers[s].rack).collect()
+        let rack = self.servers[s].rack;
+        (rack..self.cells.len()).step_by(self.racks.len()).flat_map(|c| &self.cells[c]).copied().collect()
     }
 
     /// The step down that loses least importance for what it frees: that loss per kB, the kB, and the plays
