Count the fronts that meet at a pipe instead of all; thin steps up by chance

Cause: every share of room, cut and guess was divided by all fronts; at a hundred fronts hardly a rung was raised. A pipe's fronts are those that would have a play there if it were filled at the ladder's middle rate: all at two or three fronts, a few at hundreds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,8 +19,6 @@
 const SPREAD: f64 = 0.3;
 /// Each other front is reckoned to have added this part of what this one has since a report was taken.
 const OTHERS: f64 = 0.5;
-/// And to have cut this part of what this one has cut.
-const CUTS: f64 = 1.0;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
 /// Part of what would push a cold server over that all fronts together send it.
@@ -57,7 +55,10 @@
     /// When the present moment of measurements began.
     heard: f64,
     since: VecDeque<(f64, f64)>,
-    others: f64,
+    /// How many fronts have plays on it, this one included.
+    fronts: f64,
+    /// What the others are reckoned to have cut for reports up to that time, and have not been heard to.
+    cut: (f64, f64),
 }
 
 impl Pipe {
@@ -70,18 +71,20 @@
         }
         (self.asked, self.taken) = (Some(share * self.size), taken);
         self.since.retain(|c| c.0 > taken);
+        if self.cut.0 <= taken {
+            self.cut.1 = 0.0;
+        }
     }
 
     fn change(&mut self, now: f64, kb: f64) {
         self.since.push_back((now, kb));
-        self.before += if kb < 0.0 { kb * (1.0 + CUTS * self.others) } else { kb };
+        self.before += kb;
     }
 
     /// Asked over given where two measurements in a row say so. Guards against blinking links and noise, and
     /// should against any single wrong figure; a real shortage is answered one measurement later.
     fn steady_share(&self) -> f64 {
-        let cut = CUTS * self.others * self.own_change().min(0.0) / self.size;
-        (self.share() + cut).min(self.before / self.size)
+        (self.share() - self.cut.1 / self.size).min(self.before / self.size)
     }
 
     fn now_asked(&self) -> Option<f64> {
@@ -171,6 +174,14 @@
         .collect()
 }
 
+/// How many of the fronts meet at a pipe: those that would have a play there if it were filled at the ladder's
+/// middle rate by plays of any front. At two or three fronts that is all of them, at hundreds a few.
+fn meeting(fronts: f64, ladder: &[f64], size: f64) -> f64 {
+    let others = fronts - 1.0;
+    let plays = size / ladder[ladder.len() / 2].max(1.0);
+    1.0 + others * (1.0 - (1.0 - 1.0 / fronts).powf(plays))
+}
+
 impl Front {
     pub fn new(sheet: CallSheet, seed: u64) -> Front {
         let mut ladder = row(&sheet, "extra.ladder_kb");
@@ -198,14 +209,16 @@
         let racks = number(&sheet, "extra.cabinets", 1.0).max(1.0) as usize;
         // A rack's share of all uplinks goes by its part of the cells.
         let (mean, cells) = (number(&sheet, "extra.rack_link_kb", 1.0), number(&sheet, "extra.places", 1.0));
-        let others = number(&sheet, "balancers", 1.0).max(1.0) - 1.0;
+        let fronts = number(&sheet, "balancers", 1.0).max(1.0);
         let rack = |r: usize| {
             let own = ((cells - r as f64) / racks as f64).ceil();
-            Pipe { size: (mean * racks as f64 * own / cells).max(1.0), others, ..Pipe::default() }
+            let size = (mean * racks as f64 * own / cells).max(1.0);
+            Pipe { size, fronts: meeting(fronts, &ladder, size), ..Pipe::default() }
         };
+        let racks = (0..racks).map(rack).collect();
         Front {
             rnd: oorandom::Rand64::new(seed.into()),
-            fronts: number(&sheet, "balancers", 1.0).max(1.0),
+            fronts,
             rank: number(&sheet, "rank", 0.0),
             earns,
             ladder,
@@ -214,7 +227,7 @@
             servers: Vec::new(),
             cells: vec![Vec::new(); cells.max(1.0) as usize],
             mean: 0.5,
-            racks: (0..racks).map(rack).collect(),
+            racks,
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -265,8 +278,8 @@
                 s.outcomes.clear();
             }
             s.cold_since = if cached { now } else { s.cold_since.max(line.born) };
-            s.link.others = self.fronts - 1.0;
             (s.rack, s.link.size) = (line.cell % self.racks.len(), (line.weight * unit).max(1.0));
+            s.link.fronts = meeting(self.fronts, &self.ladder, s.link.size);
             s.listing = *line;
             s.places = number(&self.sheet, &format!("extra.places_by_kind.{}", line.kind), f64::MAX);
         }
@@ -362,6 +375,9 @@
             let scope = self.scope(s, uplink);
             let own: f64 = scope.iter().map(|s| self.own(plays, *s)).sum();
             let mut excess = own * (1.0 - 1.0 / share);
+            let cut = ((share - 1.0) * pipe.size - excess).max(0.0);
+            let pipe = if uplink { &mut self.racks[rack] } else { &mut self.servers[s].link };
+            pipe.cut = (now, pipe.cut.1 + cut);
             while excess > 0.0 {
                 let Some((_, freed, unit)) = self.cheapest(plays, &scope, usize::MAX) else { break };
                 // Rungs are coarse: the last step is left to chance, or all fronts together would overshoot.
@@ -596,7 +612,7 @@
         let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
         let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
         let floor = self.products[play.product].floor;
-        let takes = self.rate(play, floor) / pipe.size * stall * there * self.fronts;
+        let takes = self.rate(play, floor) / pipe.size * stall * there * pipe.fronts;
         let brings = self.products[play.product].importance * self.earns[floor] * (1.0 - stall * short);
         brings <= takes
     }
@@ -631,11 +647,11 @@
     fn room(&self, plays: &[Play], s: usize) -> f64 {
         let middle = self.ladder.get(self.ladder.len() / 2).copied().unwrap_or(0.0);
         let free = |pipe: &Pipe, asked: f64| {
-            let others = (self.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
+            let others = (pipe.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
             pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
         };
         let server = &self.servers[s];
-        let guess = || (self.mean * server.link.size).max(self.own(plays, s) * self.fronts);
+        let guess = || (self.mean * server.link.size).max(self.own(plays, s) * server.link.fronts);
         let link = server.link.now_asked().unwrap_or_else(guess);
         let rack = &self.racks[server.rack];
         free(&server.link, link).min(free(rack, rack.now_asked().unwrap_or(0.5 * rack.size)))
@@ -744,7 +760,7 @@
         // Other fronts read the same room: with more of them a set-up leaves more of it. Guards against all
         // filling it at once; with one front the whole room counts.
         let mut room = self.room(plays, s);
-        room *= if room > 0.0 { 2.0 / (1.0 + self.fronts) } else { 1.0 };
+        room *= if room > 0.0 { 2.0 / (1.0 + self.servers[s].link.fronts) } else { 1.0 };
         let fits = |r: &usize| self.adds(plays, s, &plays[ply], ply, *r) <= room;
         let mut rung = (floor..=top).rev().find(fits).unwrap_or(floor);
         room -= self.adds(plays, s, &plays[ply], ply, rung);
@@ -779,7 +795,9 @@
         plays[ply].ask_at = now + self.spell();
         if rung < top && s < self.servers.len() {
             let more = self.next_rung(plays, s, ply, rung);
-            if more <= self.room(plays, s) / self.fronts {
+            let part = self.room(plays, s) / self.servers[s].link.fronts;
+            // A step is seldom so small as a front's part: chance lets as many fronts take one as fit.
+            if more <= part || self.rnd.rand_float() < part / more && more <= self.room(plays, s) {
                 plays[ply].rung += 1;
                 self.load(now, s, more);
             }
