--- a/src/logic.rs
+++ b/src/logic.rs
@@ -638,7 +638,7 @@
         let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
         let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
         let pace = places / warm_up * (from + (1.0 - from) * warmed);
-        self.fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
+        server.link.fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
     }
 
     // ---- room and rungs ----
