Pace known cold servers by the asks a front has seen, suspected ones by those that meet

A part of one in all fronts makes cold servers useless at a hundred fronts: a turn comes once in minutes. A front counts the plays that could have gone to a server; if all asked at its rate, so many press on it while it warms up. Servers that are only suspected (old list, doubted) are shared by the fronts that meet there. It should also cover any crowd that meets servers back from a failure; it harms where one front's viewers alone want a title: its turns come late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 const BARGAIN: f64 = 1.5;
 /// Part of what would push a cold server over that all fronts together send it.
 const PACED: f64 = 0.6;
+/// How long a front recalls which servers its plays asked for, ms.
+const MEMORY: f64 = 60_000.0;
 /// Measurements heard closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
@@ -113,6 +115,8 @@
     /// Since when it counts as cold: its start, or the last sign that its process may have been lost.
     cold_since: f64,
     next_pace: f64,
+    /// Plays that could have gone there, each fading over MEMORY, and when the last was counted.
+    asks: (f64, f64),
     plays: Vec<usize>,
 }
 
@@ -415,6 +419,10 @@
         if holders.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
+        for s in &holders {
+            let asks = &mut self.servers[*s].asks;
+            *asks = (1.0 + asks.0 * ((asks.1 - now) / MEMORY).exp(), now);
+        }
         // Cold and doubted holders take plays at their pace only; a play that finds no other waits for it.
         let open: Vec<usize> = holders.iter().copied().filter(|s| self.pace(now, *s) <= now).collect();
         if open.is_empty() {
@@ -638,7 +646,12 @@
         let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
         let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
         let pace = places / warm_up * (from + (1.0 - from) * warmed);
-        server.link.fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
+        // The fronts that press on it: those that usually meet there, and while it warms up as many as would ask
+        // if all asked at this front's own rate.
+        let cold = now < server.cold_since + warm_up && server.cold_since != self.cached;
+        let asking = if cold { 1.0 - (-server.asks.0 * warm_up / MEMORY).exp() } else { 0.0 };
+        let fronts = (self.fronts * asking).max(server.link.fronts);
+        fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
     }
 
     // ---- room and rungs ----
