Probe holders whose figures are old, leave room by who may come, step up by parts alone

A set-up leaves room to four of the fronts that meet there, as few come within a figure's life; where the figure is old, to all. Tried without effect: a running mean against 0.5 for unmeasured links, other counts of fronts for steps up, shorter spells, part cuts.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -381,7 +381,12 @@
                 );
             }
             Place::Stays { rung } if rung != was => reply.record(28, who, &[&id, &[rung as u8]]),
-            Place::Stays { .. } | Place::NotYet => {}
+            Place::Stays { .. } => {}
+            Place::NotYet { sound_out } => {
+                for server in sound_out {
+                    reply.record(18, who, &[&self.server_ids[server].to_le_bytes()]);
+                }
+            }
             Place::Declined { pause } => reply.record(17, who, &[&id, &us(pause)]),
             Place::Failed => reply.record(25, who, &[&id]),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,8 @@
     /// The first server that an earlier allocation may have run at, and when it was sent there.
     pub ran_at: Option<(usize, f64)>,
     pub tried: Vec<usize>,
+    /// Servers were probed for its next allocation.
+    pub sounded: bool,
     pub sent: f64,
     pub started: f64,
     pub ask_at: f64,
@@ -58,8 +60,10 @@
         rung: usize,
         time_out: f64,
     },
-    /// It is to be asked about again once `wait` has passed.
-    NotYet,
+    /// It is to be asked about again once `wait` has passed; meanwhile these servers are to be probed.
+    NotYet {
+        sound_out: Vec<usize>,
+    },
     /// It plays, on this rung.
     Stays {
         rung: usize,
@@ -109,6 +113,14 @@
     Streams(f64),
 }
 
+impl Figure {
+    pub fn amount(self) -> f64 {
+        use Figure::{Delivered, Link, LinkCapped, Streams, Uplink};
+        let (Delivered(x) | Link(x) | LinkCapped(x) | Uplink(x) | Streams(x)) = self;
+        x
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,10 +21,19 @@
 const OTHERS: f64 = 0.5;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
+/// Asked over given from which a link counts as short for a further play.
+const SHORT: f64 = 1.02;
 /// Part of what would push a cold server over that all fronts together send it.
 const PACED: f64 = 0.6;
 /// How long a front recalls which servers its plays asked for, ms.
 const MEMORY: f64 = 60_000.0;
+/// A figure older than this is to be refreshed by a probe, whose answer is waited for so long, ms.
+const OLD: f64 = 6_000.0;
+const ECHO: f64 = 50.0;
+/// What the probes for one allocation may cost, in parts of a play's worth.
+const PROBES: f64 = 0.025;
+/// So many of the fronts that meet at a server may set up plays there within the life of a figure.
+const COMING: f64 = 4.0;
 /// Measurements heard closer than this are of one moment, ms.
 const APART: f64 = 500.0;
 
@@ -71,7 +80,7 @@
         if now >= self.heard + APART {
             (self.before, self.heard) = (self.now_asked().unwrap_or(0.0), now);
         }
-        (self.asked, self.taken) = (Some(share * self.size), taken);
+        (self.asked, self.taken) = (Some(share.min(100.0) * self.size), taken);
         self.since.retain(|c| c.0 > taken);
         if self.cut.0 <= taken {
             self.cut.1 = 0.0;
@@ -85,8 +94,17 @@
 
     /// Asked over given where two measurements in a row say so. Guards against blinking links and noise, and
     /// should against any single wrong figure; a real shortage is answered one measurement later.
+    fn short_twice(&self) -> f64 {
+        self.share().min(self.before / self.size)
+    }
+
+    /// The same less what other fronts are reckoned to have cut.
     fn steady_share(&self) -> f64 {
-        (self.share() - self.cut.1 / self.size).min(self.before / self.size)
+        self.short_twice().min(self.share() - self.cut.1 / self.size)
+    }
+
+    fn known(&self, now: f64) -> bool {
+        self.asked.is_some() && now - self.taken < OLD
     }
 
     fn now_asked(&self) -> Option<f64> {
@@ -127,10 +145,8 @@
     }
 
     fn heard(&mut self, ok: bool) {
-        self.outcomes.push_back(ok);
-        if self.outcomes.len() > OUTCOMES {
-            self.outcomes.pop_front();
-        }
+        self.outcomes.push_front(ok);
+        self.outcomes.truncate(OUTCOMES);
     }
 }
 
@@ -158,24 +174,16 @@
 }
 
 fn number(sheet: &CallSheet, name: &str, otherwise: f64) -> f64 {
-    match sheet.get(name) {
-        Some(Value::Number(n)) => *n,
-        _ => otherwise,
-    }
+    if let Some(Value::Number(n)) = sheet.get(name) { *n } else { otherwise }
 }
 
 fn text(sheet: &CallSheet, name: &str) -> String {
-    match sheet.get(name) {
-        Some(Value::Text(t)) => t.clone(),
-        _ => String::new(),
-    }
+    if let Some(Value::Text(t)) = sheet.get(name) { t.clone() } else { String::new() }
 }
 
 fn row(sheet: &CallSheet, name: &str) -> Vec<f64> {
-    (0..)
-        .map_while(|i| sheet.get(&format!("{name}.{i}")))
-        .map(|v| if let Value::Number(n) = v { *n } else { 0.0 })
-        .collect()
+    let given = (0..).take_while(|i| sheet.contains_key(&format!("{name}.{i}")));
+    given.map(|i| number(sheet, &format!("{name}.{i}"), 0.0)).collect()
 }
 
 /// How many of the fronts meet at a pipe: those that would have a play there if it were filled at the ladder's
@@ -186,6 +194,12 @@
     1.0 + others * (1.0 - (1.0 - 1.0 / fronts).powf(plays))
 }
 
+/// Those that pass, or all where none does.
+fn prefer(from: Vec<usize>, good: impl Fn(&usize) -> bool) -> Vec<usize> {
+    let passed: Vec<usize> = from.iter().copied().filter(good).collect();
+    if passed.is_empty() { from } else { passed }
+}
+
 impl Front {
     pub fn new(sheet: CallSheet, seed: u64) -> Front {
         let mut ladder = row(&sheet, "extra.ladder_kb");
@@ -201,7 +215,7 @@
                 effect: text(&sheet, &format!("products.{i}.effect")),
                 group: text(&sheet, &format!("products.{i}.key_scope")),
                 repeat_window: of("repeat_window", 0.0),
-                floor: extra("class_floor", 0.0) as usize,
+                floor: (extra("class_floor", 0.0) as usize).min(ladder.len() - 1),
                 top: extra("top_by_class", 99.0) as usize,
                 scale: extra("class_scale", 1.0),
                 live: extra("class_live", 0.0) > 0.0,
@@ -210,7 +224,7 @@
         };
         let count = (0..).take_while(|i| sheet.contains_key(&format!("products.{i}.importance"))).count();
         let products = (0..count).map(product).collect();
-        let racks = number(&sheet, "extra.cabinets", 1.0).max(1.0) as usize;
+        let racks = number(&sheet, "extra.cabinets", 1.0).clamp(1.0, 65_536.0) as usize;
         // A rack's share of all uplinks goes by its part of the cells.
         let (mean, cells) = (number(&sheet, "extra.rack_link_kb", 1.0), number(&sheet, "extra.places", 1.0));
         let fronts = number(&sheet, "balancers", 1.0).max(1.0);
@@ -219,8 +233,8 @@
             let size = (mean * racks as f64 * own / cells).max(1.0);
             Pipe { size, fronts: meeting(fronts, &ladder, size), ..Pipe::default() }
         };
-        let racks = (0..racks).map(rack).collect();
         Front {
+            racks: (0..racks).map(rack).collect(),
             rnd: oorandom::Rand64::new(seed.into()),
             fronts,
             rank: number(&sheet, "rank", 0.0),
@@ -229,9 +243,8 @@
             products,
             shared: number(&sheet, "extra.join", 1.0),
             servers: Vec::new(),
-            cells: vec![Vec::new(); cells.max(1.0) as usize],
+            cells: vec![Vec::new(); cells.clamp(1.0, 65_536.0) as usize],
             mean: 0.5,
-            racks,
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -288,9 +301,9 @@
             s.places = number(&self.sheet, &format!("extra.places_by_kind.{}", line.kind), f64::MAX);
         }
         self.cells.iter_mut().for_each(Vec::clear);
-        for (s, server) in self.servers.iter().enumerate().filter(|s| s.1.listing.standing != Standing::Gone) {
-            let cell = server.listing.cell % self.cells.len();
-            self.cells[cell].push(s);
+        let count = self.cells.len();
+        for s in (0..self.servers.len()).filter(|s| self.servers[*s].listing.standing != Standing::Gone) {
+            self.cells[self.servers[s].listing.cell % count].push(s);
         }
         if cached {
             self.cached = now;
@@ -333,41 +346,32 @@
     }
 
     /// What a server told of itself, or a note about it on play `of`. Answers the steps down it asks for.
-    pub fn figure(
-        &mut self,
-        now: f64,
-        plays: &mut [Play],
-        s: usize,
-        of: Option<usize>,
-        figure: Figure,
-    ) -> Steps {
+    pub fn figure(&mut self, now: f64, plays: &mut [Play], s: usize, of: Option<usize>, it: Figure) -> Steps {
+        let x = it.amount();
+        if s >= self.servers.len() || !x.is_finite() || x < 0.0 {
+            return Vec::new();
+        }
         // The note at set-up is of now; all else is as late as notes are.
         let fresh = of.is_some_and(|ply| plays[ply].started == now);
         let taken = if fresh { now } else { now - self.rule("extra.seen_after", 1000.0) };
-        if s >= self.servers.len() {
-            return Vec::new();
-        }
         let rack = self.servers[s].rack;
-        if let Figure::Link(x) | Figure::LinkCapped(x) = figure {
-            self.mean += (x.min(1.0) - self.mean) / 16.0;
-        }
-        match figure {
-            Figure::Streams(n) => self.servers[s].streams = n,
-            Figure::Link(x) => self.servers[s].link.measured(now, taken, x),
-            Figure::LinkCapped(x) => {
-                let known = self.servers[s].link.share();
-                self.servers[s].link.measured(now, taken, if x >= 1.0 { known.max(1.0) } else { x });
+        let known = self.servers[s].link.share();
+        match it {
+            Figure::Streams(_) => self.servers[s].streams = x,
+            Figure::Uplink(_) => self.racks[rack].measured(now, taken, x),
+            Figure::Link(_) | Figure::LinkCapped(_) => {
+                // A capped figure tells of a full link only that it is full.
+                let x = if matches!(it, Figure::LinkCapped(_)) && x >= 1.0 { known.max(1.0) } else { x };
+                self.mean += (x.min(1.0) - self.mean) / 16.0;
+                self.servers[s].link.measured(now, taken, x);
             }
-            Figure::Uplink(x) => self.racks[rack].measured(now, taken, x),
-            Figure::Delivered(share) => {
+            Figure::Delivered(_) => {
                 // A rack is short for all its servers: one that delivers short beside a rack with room is
                 // short itself. Guards against a silent server's notes cutting its whole rack.
-                let by_rack = self.racks[rack].share() > self.servers[s].link.share().max(0.9);
+                let by_rack = self.racks[rack].share() > known.max(0.9);
                 let pipe = if by_rack { &mut self.racks[rack] } else { &mut self.servers[s].link };
-                if share < 0.98 {
-                    pipe.measured(now, taken, 1.0 / share.max(0.05));
-                } else if pipe.share() > 1.0 {
-                    pipe.measured(now, taken, 1.0);
+                if x < 0.98 || pipe.share() > 1.0 {
+                    pipe.measured(now, taken, if x < 0.98 { 1.0 / x.max(0.05) } else { 1.0 });
                 }
             }
         }
@@ -411,11 +415,7 @@
         }
 
         // Holders that may be sent to at all; those that failed this play only if there are no others.
-        let mut holders = self.holders(&plays[ply]);
-        let fresh: Vec<usize> = holders.iter().copied().filter(|s| !plays[ply].tried.contains(s)).collect();
-        if !fresh.is_empty() {
-            holders = fresh;
-        }
+        let holders = prefer(self.holders(&plays[ply]), |s| !plays[ply].tried.contains(s));
         if holders.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
@@ -424,37 +424,54 @@
             *asks = (1.0 + asks.0 * ((asks.1 - now) / MEMORY).exp(), now);
         }
         // Cold and doubted holders take plays at their pace only; a play that finds no other waits for it.
-        let open: Vec<usize> = holders.iter().copied().filter(|s| self.pace(now, *s) <= now).collect();
+        let mut open = holders.clone();
+        open.retain(|s| self.pace(now, *s) <= now);
         if open.is_empty() {
             let soonest = holders.iter().map(|s| self.pace(now, *s)).fold(f64::MAX, f64::min);
             if soonest >= plays[ply].limit - 200.0 {
                 return (self.never(&mut plays[ply]), Vec::new());
             }
             plays[ply].ask_at = soonest.max(now + 1.0);
-            return (Place::NotYet, Vec::new());
+            return (Place::NotYet { sound_out: Vec::new() }, Vec::new());
         }
-
-        let open: Vec<usize> = open.into_iter().filter(|s| !self.crowded(plays, *s, &plays[ply])).collect();
+        open.retain(|s| !self.crowded(plays, *s));
         if open.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
         // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream
         // it already and have room come before all others.
-        let streams_it = |s: &usize| {
-            let same = |o: &usize| (plays[*o].title, plays[*o].product) == (title, product);
-            self.products[product].live && self.shared < 1.0 && self.servers[*s].plays.iter().any(same)
-        };
-        let sharing: Vec<usize> =
-            open.iter().copied().filter(|s| streams_it(s) && self.room(plays, *s) > 0.0).collect();
-        let open = if sharing.is_empty() { open } else { sharing };
+        let same = |o: &usize| (plays[*o].title, plays[*o].product) == (title, product);
+        let shares = |s: &usize| self.servers[*s].plays.iter().any(same) && self.room(plays, *s) > 0.0;
+        if self.products[product].live && self.shared < 1.0 {
+            open = prefer(open, shares);
+        }
+        // Figures grow old where this front seldom has plays: where their price allows, holders are probed for
+        // fresh ones, and those that do not answer are left. Guards against guessed room and against silent
+        // servers alike; it costs each play a moment.
+        let worth = (PROBES / self.rule("costs.probe", PROBES).max(1e-6)) as usize;
+        let mut sound_out = open.clone();
+        sound_out.retain(|s| !self.servers[*s].link.known(now));
+        let enough = worth.saturating_sub(open.len() - sound_out.len()).min(sound_out.len());
+        while sound_out.len() > enough {
+            sound_out.swap_remove(self.rnd.rand_range(0..sound_out.len() as u64) as usize);
+        }
+        let hurried = now + 4.0 * ECHO > plays[ply].limit;
+        let sounded = plays[ply].sounded || hurried || self.rule("ceilings.probes", 0.0) <= 0.0;
+        if !sounded && !sound_out.is_empty() {
+            (plays[ply].sounded, plays[ply].ask_at) = (true, now + ECHO);
+            return (Place::NotYet { sound_out }, Vec::new());
+        }
+        if plays[ply].sounded {
+            open = prefer(open, |s| self.servers[*s].link.asked.is_some());
+        }
 
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
-        let unmeasured: Vec<usize> =
-            open.iter().copied().filter(|s| self.servers[*s].link.asked.is_none()).collect();
+        let unmeasured = |s: &usize| self.servers[*s].link.asked.is_none();
         let rooms: Vec<f64> = open.iter().map(|s| self.room(plays, *s).max(0.0)).collect();
         let total: f64 = rooms.iter().sum();
-        let server = if !unmeasured.is_empty() {
-            unmeasured[self.rnd.rand_range(0..unmeasured.len() as u64) as usize]
+        let server = if open.iter().any(unmeasured) {
+            open.retain(unmeasured);
+            open[self.rnd.rand_range(0..open.len() as u64) as usize]
         } else if total <= 0.0 {
             let used =
                 |s: &usize| self.servers[*s].link.share().max(self.racks[self.servers[*s].rack].share());
@@ -493,26 +510,19 @@
     }
 
     /// What to do after an outcome of the play's latest allocation. `closed`: the play has ended with it.
-    pub fn after(
-        &mut self,
-        now: f64,
-        plays: &mut [Play],
-        ply: usize,
-        outcome: Outcome,
-        closed: bool,
-    ) -> Next {
+    pub fn after(&mut self, now: f64, plays: &mut [Play], ply: usize, what: Outcome, closed: bool) -> Next {
         let Some(s) = plays[ply].server else {
             plays[ply].over |= closed;
             return Next::Nothing;
         };
-        if outcome == Outcome::Playing {
+        if what == Outcome::Playing {
             (plays[ply].playing, plays[ply].started) = (true, now);
             plays[ply].ask_at = now + self.spell();
             self.servers[s].heard(true);
             return Next::Nothing;
         }
         let playing = plays[ply].playing;
-        match outcome {
+        match what {
             Outcome::Error => self.servers[s].heard(false),
             Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
                 // The process may be gone and come back cold before the list tells.
@@ -525,14 +535,13 @@
         let kb = self.adds(plays, s, &plays[ply], ply, plays[ply].rung);
         self.load(now, s, -kb);
         self.servers[s].plays.retain(|p| *p != ply);
-        if let Some(n) = self.seats.get_mut(&(plays[ply].product, plays[ply].title)) {
-            *n = n.saturating_sub(1);
-        }
+        let seats = self.seats.entry((plays[ply].product, plays[ply].title)).or_default();
+        *seats = seats.saturating_sub(1);
         let play = &mut plays[ply];
-        if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
+        if !matches!(what, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
             play.ran_at.get_or_insert((s, play.sent));
         }
-        play.server = None;
+        (play.server, play.sounded) = (None, false);
         play.tried.push(s);
         play.over |= closed || playing;
         if play.over { Next::Nothing } else { Next::Ask }
@@ -562,7 +571,9 @@
             "cell" => self.servers[r].listing.cell == at.cell,
             _ => true,
         });
-        at.standing == Standing::Ready && same && server.streams.max(server.plays.len() as f64) < server.places
+        at.standing == Standing::Ready
+            && same
+            && server.streams.max(server.plays.len() as f64) < server.places
     }
 
     /// Whether the rules leave room for one more allocation of a play that had some.
@@ -581,11 +592,10 @@
         while self.further.front().is_some_and(|t| *t < now - span) {
             self.further.pop_front();
         }
-        let budget = if self.sheet.contains_key("rules.budget_share") {
-            self.rule("rules.free_resends", 0.0)
-                + self.rule("rules.budget_share", 0.0) * self.taken.len() as f64
-        } else {
-            f64::MAX
+        let free = self.rule("rules.free_resends", 0.0);
+        let budget = match self.sheet.get("rules.budget_share") {
+            Some(Value::Number(share)) => free + share * self.taken.len() as f64,
+            _ => f64::MAX,
         };
         let cap = self.rule("ceilings.attempts_cap", 4.0) as usize;
         repeatable && play.allocations < cap && self.further.len() as f64 + 1.0 <= budget
@@ -606,23 +616,15 @@
         Place::Declined { pause: if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 } }
     }
 
-    /// Whether a play at its lowest rung would take more importance from those at the server than it brings,
-    /// as the link or uplink stays short. Guards against floods that no rung can carry and against links that
-    /// have shrunk under their plays; sends a viewer off for nothing where the shortage has just ended.
-    fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
-        let (uplink, pipe) = self.shorter(s);
-        let short = pipe.steady_share() - 1.0;
-        if short <= 0.0 {
-            return false;
-        }
-        let scope = self.scope(s, uplink);
-        let stall = self.rule("extra.stall_cost", 0.0);
-        let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
-        let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
-        let floor = self.products[play.product].floor;
-        let takes = self.rate(play, floor) / pipe.size * stall * there * pipe.fronts;
-        let brings = self.products[play.product].importance * self.earns[floor] * (1.0 - stall * short);
-        brings <= takes
+    /// Whether a server or its rack stays short though all that this front has there is on the lowest rung: a
+    /// further play would take more from those there than it brings. Guards against floods that no rung can
+    /// carry and links that shrink under their plays; sends a viewer off for nothing just after a shortage.
+    fn crowded(&self, plays: &[Play], s: usize) -> bool {
+        let (link, rack) = (&self.servers[s].link, &self.racks[self.servers[s].rack]);
+        let lowest = |ply: &usize| plays[*ply].rung <= self.products[plays[*ply].product].floor;
+        let all_low = |s: &usize| self.servers[*s].plays.iter().all(lowest);
+        link.short_twice() > SHORT && all_low(&s)
+            || rack.short_twice() > SHORT && self.scope(s, true).iter().all(all_low)
     }
 
     /// When the server may next be sent to: cold and doubted ones by this front's part of the warm-up's pace.
@@ -658,7 +660,7 @@
 
     /// The one room figure: what the link and its rack's uplink both still carry, less the margin.
     fn room(&self, plays: &[Play], s: usize) -> f64 {
-        let middle = self.ladder.get(self.ladder.len() / 2).copied().unwrap_or(0.0);
+        let middle = self.ladder[self.ladder.len() / 2];
         let free = |pipe: &Pipe, asked: f64| {
             let others = (pipe.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
             pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
@@ -769,11 +771,13 @@
     fn rung_for(&mut self, now: f64, plays: &mut [Play], ply: usize, s: usize) -> (usize, Steps) {
         let product = &self.products[plays[ply].product];
         let (floor, importance) = (product.floor, product.importance);
-        let top = plays[ply].top.min(product.top).min(self.ladder.len() - 1).max(floor);
+        let top = self.top(&plays[ply]).max(floor);
         // Other fronts read the same room: with more of them a set-up leaves more of it. Guards against all
         // filling it at once; with one front the whole room counts.
         let mut room = self.room(plays, s);
-        room *= if room > 0.0 { 2.0 / (1.0 + self.servers[s].link.fronts) } else { 1.0 };
+        let link = &self.servers[s].link;
+        let fronts = if link.known(now) { link.fronts.min(COMING) } else { link.fronts };
+        room *= if room > 0.0 { 2.0 / (1.0 + fronts) } else { 1.0 };
         let fits = |r: &usize| self.adds(plays, s, &plays[ply], ply, *r) <= room;
         let mut rung = (floor..=top).rev().find(fits).unwrap_or(floor);
         room -= self.adds(plays, s, &plays[ply], ply, rung);
@@ -797,20 +801,20 @@
         (rung, steps)
     }
 
+    fn top(&self, play: &Play) -> usize {
+        play.top.min(self.products[play.product].top).min(self.ladder.len() - 1)
+    }
+
     /// One rung up after the quiet spell, where this front's part of the room carries it.
     fn step_up(&mut self, now: f64, plays: &mut [Play], ply: usize) -> (Place, Steps) {
         let rung = plays[ply].rung;
-        let product = &self.products[plays[ply].product];
-        let top = plays[ply].top.min(product.top).min(self.ladder.len() - 1);
         let Some(s) = plays[ply].server.filter(|_| now >= plays[ply].ask_at - 0.01) else {
             return (Place::Stays { rung }, Vec::new());
         };
         plays[ply].ask_at = now + self.spell();
-        if rung < top && s < self.servers.len() {
+        if rung < self.top(&plays[ply]) && s < self.servers.len() {
             let more = self.next_rung(plays, s, ply, rung);
-            let part = self.room(plays, s) / self.servers[s].link.fronts;
-            // A step is seldom so small as a front's part: chance lets as many fronts take one as fit.
-            if more <= part || self.rnd.rand_float() < part / more && more <= self.room(plays, s) {
+            if more <= self.room(plays, s) / self.servers[s].link.fronts {
                 plays[ply].rung += 1;
                 self.load(now, s, more);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -174,7 +174,7 @@
     host.now += 5000.0;
     let (first, second) = (host.take(0, 1), host.take(0, 1));
     assert_eq!(host.sent_to(first), Some(0), "a trial");
-    assert_eq!(host.ask(second), Place::NotYet);
+    assert_eq!(host.ask(second), Place::NotYet { sound_out: vec![] });
     host.now += host.front.wait(host.now, &host.plays[second]).unwrap();
     assert_eq!(host.sent_to(second), Some(0), "in its turn");
 }
