--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,9 +8,9 @@
 
 /// A draw below this takes the roomiest holder outright (Wamser et al.).
 const WEIGHT: f64 = 0.5;
-/// Outcomes that a server's health looks back on, and the share of successes under which it is doubted.
+/// Outcomes that a server is judged by, and how many failures among them make it doubted.
 const OUTCOMES: usize = 4;
-const DOUBTED: f64 = 0.6;
+const FAILURES: usize = 2;
 /// Quiet spell before a step up, and the random addition to it, ms.
 const QUIET: f64 = 5_000.0;
 const JITTER: f64 = 5_000.0;
@@ -139,9 +139,8 @@
 }
 
 impl Server {
-    fn health(&self) -> f64 {
-        let bad = self.outcomes.iter().filter(|ok| !**ok).count();
-        1.0 - bad as f64 / OUTCOMES as f64
+    fn doubted(&self) -> bool {
+        self.outcomes.iter().filter(|ok| !**ok).count() >= FAILURES
     }
 
     fn heard(&mut self, ok: bool) {
@@ -186,8 +185,8 @@
     given.map(|i| number(sheet, &format!("{name}.{i}"), 0.0)).collect()
 }
 
-/// How many of the fronts meet at a pipe: those that would have a play there if it were filled at the ladder's
-/// middle rate by plays of any front. At two or three fronts that is all of them, at hundreds a few.
+/// How many of the fronts meet at a pipe: those that would have a play there if plays of all filled it at the
+/// ladder's middle rate. At two or three fronts that is all of them, at hundreds a few.
 fn meeting(fronts: f64, ladder: &[f64], size: f64) -> f64 {
     let others = fronts - 1.0;
     let plays = size / ladder[ladder.len() / 2].max(1.0);
@@ -415,7 +414,8 @@
         }
 
         // Holders that may be sent to at all; those that failed this play only if there are no others.
-        let holders = prefer(self.holders(&plays[ply]), |s| !plays[ply].tried.contains(s));
+        let mut holders = prefer(self.holders(&plays[ply]), |s| !plays[ply].tried.contains(s));
+        holders.retain(|s| !self.crowded(plays, *s));
         if holders.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
@@ -434,10 +434,6 @@
             plays[ply].ask_at = soonest.max(now + 1.0);
             return (Place::NotYet { sound_out: Vec::new() }, Vec::new());
         }
-        open.retain(|s| !self.crowded(plays, *s));
-        if open.is_empty() {
-            return (self.never(&mut plays[ply]), Vec::new());
-        }
         // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream
         // it already and have room come before all others.
         let same = |o: &usize| (plays[*o].title, plays[*o].product) == (title, product);
@@ -445,9 +441,8 @@
         if self.products[product].live && self.shared < 1.0 {
             open = prefer(open, shares);
         }
-        // Figures grow old where this front seldom has plays: where their price allows, holders are probed for
-        // fresh ones, and those that do not answer are left. Guards against guessed room and against silent
-        // servers alike; it costs each play a moment.
+        // Figures grow old where this front seldom has plays: as their price allows, holders are probed, and those
+        // that do not answer are left. Guards against guessed room and silent servers; it takes a moment.
         let worth = (PROBES / self.rule("costs.probe", PROBES).max(1e-6)) as usize;
         let mut sound_out = open.clone();
         sound_out.retain(|s| !self.servers[*s].link.known(now));
@@ -455,16 +450,21 @@
         while sound_out.len() > enough {
             sound_out.swap_remove(self.rnd.rand_range(0..sound_out.len() as u64) as usize);
         }
-        let hurried = now + 4.0 * ECHO > plays[ply].limit;
-        let sounded = plays[ply].sounded || hurried || self.rule("ceilings.probes", 0.0) <= 0.0;
-        if !sounded && !sound_out.is_empty() {
+        let may_wait = !plays[ply].sounded && now + 4.0 * ECHO < plays[ply].limit;
+        if may_wait && !sound_out.is_empty() && self.rule("ceilings.probes", 0.0) > 0.0 {
             (plays[ply].sounded, plays[ply].ask_at) = (true, now + ECHO);
             return (Place::NotYet { sound_out }, Vec::new());
         }
         if plays[ply].sounded {
-            open = prefer(open, |s| self.servers[*s].link.asked.is_some());
+            open = prefer(open, |s| self.servers[*s].link.asked.is_some() && self.room(plays, *s) > 0.0);
         }
 
+        // A crossing of zones that is priced wants a reason: own holders with ample room come before others.
+        let ample = 2.0 * self.rate(&plays[ply], self.top(&plays[ply]));
+        let home = |s: &usize| self.servers[*s].listing.zone as f64 == self.rule("zone", 0.0);
+        if self.rule("costs.cross_zone", 0.0) > 0.0 {
+            open = prefer(open, |s| home(s) && self.room(plays, *s) > ample);
+        }
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
         let unmeasured = |s: &usize| self.servers[*s].link.asked.is_none();
         let rooms: Vec<f64> = open.iter().map(|s| self.room(plays, *s).max(0.0)).collect();
@@ -634,7 +634,7 @@
     fn pace(&self, now: f64, s: usize) -> f64 {
         let server = &self.servers[s];
         let cold = now < server.cold_since + self.rule("rules.cold", 0.0);
-        if !cold && server.health() >= DOUBTED {
+        if !cold && !server.doubted() {
             return now;
         }
         let first = server.cold_since + self.gap(server.cold_since, s) * self.rank / self.fronts;
@@ -648,8 +648,8 @@
         let from = self.rule("rules.cold_from", 0.1).clamp(0.01, 1.0);
         let warmed = ((now - server.cold_since) / warm_up).clamp(0.0, 1.0);
         let pace = places / warm_up * (from + (1.0 - from) * warmed);
-        // The fronts that press on it: those that usually meet there, and while it warms up as many as would ask
-        // if all asked at this front's own rate.
+        // The fronts that press on it: those that usually meet there, and while it warms up as many as would
+        // ask if all asked at this front's own rate.
         let cold = now < server.cold_since + warm_up && server.cold_since != self.cached;
         let asking = if cold { 1.0 - (-server.asks.0 * warm_up / MEMORY).exp() } else { 0.0 };
         let fronts = (self.fronts * asking).max(server.link.fronts);
