Reckon with a flood from a front's own set-ups; say things once

It should also cover front restarts and storms of returning viewers; it harms where one front alone is sought.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,8 +17,10 @@
 /// Room left for the spread of true rates and for late figures, in parts of a play's rate over the root of
 /// the number of plays.
 const SPREAD: f64 = 0.3;
-/// Each other front is reckoned to have added this part of what this one has since a report was taken.
+/// Each other front is reckoned to have added this part of what this one has since a report was taken, and as
+/// much as this one in so many ms where that is more than a play.
 const OTHERS: f64 = 0.5;
+const RECENT: f64 = 1_500.0;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
 /// Asked over given from which a link counts as short for a further play.
@@ -165,6 +167,9 @@
     racks: Vec<Pipe>,
     /// Running mean of the links' shares heard, which stands in for servers that are not measured.
     mean: f64,
+    fleet: f64,
+    /// What this front set up of late, kB, and when that was reckoned.
+    recent: (f64, f64),
     seats: BTreeMap<(usize, usize), usize>,
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
@@ -244,6 +249,8 @@
             servers: Vec::new(),
             cells: vec![Vec::new(); cells.clamp(1.0, 65_536.0) as usize],
             mean: 0.5,
+            recent: (0.0, 0.0),
+            fleet: number(&sheet, "extra.fleet_kb", 1.0).max(1.0),
             seats: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -252,7 +259,6 @@
         }
     }
 
-    /// Whether the call sheet names this product.
     pub fn sells(&self, product: usize) -> bool {
         product < self.products.len()
     }
@@ -312,7 +318,6 @@
         }
     }
 
-    /// A play was taken.
     pub fn take(&mut self, now: f64, play: &mut Play) {
         if self.sheet.contains_key("rules.budget_share") {
             self.taken.push_back(now);
@@ -323,12 +328,11 @@
 
     /// A play that was under way before this front started.
     pub fn adopt(&mut self, now: f64, plays: &mut [Play], ply: usize) {
-        let server = plays[ply].server;
         plays[ply].rung = self.products[plays[ply].product].floor;
         (plays[ply].playing, plays[ply].allocations) = (true, 1);
         // Its last change is past, so only the jitter is left of its quiet spell.
         plays[ply].ask_at = now + JITTER * self.rnd.rand_float();
-        if let Some(s) = server {
+        if let Some(s) = plays[ply].server {
             self.know(s);
             self.servers[s].plays.push(ply);
         }
@@ -386,7 +390,7 @@
             let pipe = if uplink { &mut self.racks[rack] } else { &mut self.servers[s].link };
             pipe.cut = (now, pipe.cut.1 + cut);
             while excess > 0.0 {
-                let Some((_, freed, unit)) = self.cheapest(plays, &scope, usize::MAX) else { break };
+                let Some((_, freed, unit)) = self.cheapest(plays, &scope) else { break };
                 // Rungs are coarse: the last step is left to chance, or all fronts together would overshoot.
                 if freed > excess && self.rnd.rand_float() > excess / freed {
                     break;
@@ -402,14 +406,15 @@
 
     /// Where this play goes: the design's ordinary path, from the title's holders to a rung.
     pub fn place(&mut self, now: f64, plays: &mut [Play], ply: usize) -> (Place, Steps) {
+        self.recent = (self.recent.0 * ((self.recent.1 - now) / RECENT).exp(), now);
         if plays[ply].playing {
             return self.step_up(now, plays, ply);
         }
         let (product, title) = (plays[ply].product, plays[ply].title);
         let seats = self.products[product].seats;
-        let seated = self.seats.get(&(product, title)).copied().unwrap_or(0);
+        let seated = self.seats.get(&(product, title)).is_some_and(|n| seats > 0 && *n >= seats);
         let out_of_turn = plays[ply].allocations > 0 && !self.may_allocate_again(now, &plays[ply]);
-        if (seats > 0 && seated >= seats) || out_of_turn || now >= plays[ply].limit - 1.0 {
+        if seated || out_of_turn || now >= plays[ply].limit - 1.0 {
             return (self.never(&mut plays[ply]), Vec::new());
         }
 
@@ -441,8 +446,8 @@
         if self.products[product].live && self.shared < 1.0 {
             open = prefer(open, shares);
         }
-        // Figures grow old where this front seldom has plays: as their price allows, holders are probed, and those
-        // that do not answer are left. Guards against guessed room and silent servers; it takes a moment.
+        // Figures grow old where this front seldom has plays: as their price allows, holders are probed, and
+        // those that do not answer are left. Guards against guessed room and silent servers; takes a moment.
         let worth = (PROBES / self.rule("costs.probe", PROBES).max(1e-6)) as usize;
         let mut sound_out = open.clone();
         sound_out.retain(|s| !self.servers[*s].link.known(now));
@@ -492,6 +497,7 @@
         let (rung, steps) = self.rung_for(now, plays, ply, server);
         let kb = self.adds(plays, server, &plays[ply], ply, rung);
         self.load(now, server, kb);
+        self.recent.0 += kb;
         self.servers[server].next_pace = now + self.gap(now, server);
         let play = &mut plays[ply];
         if play.allocations > 0 && self.sheet.contains_key("rules.budget_share") {
@@ -521,7 +527,6 @@
             self.servers[s].heard(true);
             return Next::Nothing;
         }
-        let playing = plays[ply].playing;
         match what {
             Outcome::Error => self.servers[s].heard(false),
             Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
@@ -543,7 +548,7 @@
         }
         (play.server, play.sounded) = (None, false);
         play.tried.push(s);
-        play.over |= closed || playing;
+        play.over |= closed || play.playing;
         if play.over { Next::Nothing } else { Next::Ask }
     }
 
@@ -609,11 +614,9 @@
             "idempotency_key" => play.ran_at.is_none() || product.group == "all",
             _ => true,
         };
-        if !refusable {
-            return Place::Failed;
-        }
         let heeded = self.rule("ceilings.retry_after", 0.0) > 0.0;
-        Place::Declined { pause: if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 } }
+        let pause = if heeded { self.rule("ceilings.max_retry_after", 0.0) } else { 0.0 };
+        if refusable { Place::Declined { pause } } else { Place::Failed }
     }
 
     /// Whether a server or its rack stays short though all that this front has there is on the lowest rung: a
@@ -658,12 +661,14 @@
 
     // ---- room and rungs ----
 
-    /// The one room figure: what the link and its rack's uplink both still carry, less the margin.
+    /// The one room figure: what the link and its rack's uplink both still carry, less the margin. Where this
+    /// front sets up play on play, all are reckoned to: guards against floods that no figure shows yet.
     fn room(&self, plays: &[Play], s: usize) -> f64 {
         let middle = self.ladder[self.ladder.len() / 2];
         let free = |pipe: &Pipe, asked: f64| {
             let others = (pipe.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
-            pipe.size - asked - others - SPREAD * (pipe.size * middle).sqrt()
+            let flood = (self.recent.0 - middle).max(0.0) * (self.fronts - 1.0) * pipe.size / self.fleet;
+            pipe.size - asked - others.max(flood) - SPREAD * (pipe.size * middle).sqrt()
         };
         let server = &self.servers[s];
         let guess = || (self.mean * server.link.size).max(self.own(plays, s) * server.link.fronts);
@@ -721,30 +726,25 @@
 
     /// The step down that loses least importance for what it frees: that loss per kB, the kB, and the plays
     /// (one, or all of this front that share a live stream).
-    fn cheapest(&self, plays: &[Play], scope: &[usize], but: usize) -> Option<(f64, f64, Vec<usize>)> {
+    fn cheapest(&self, plays: &[Play], scope: &[usize]) -> Option<(f64, f64, Vec<usize>)> {
         let mut best: Option<(f64, f64, Vec<usize>)> = None;
         for s in scope {
             for (i, ply) in self.servers[*s].plays.iter().enumerate() {
                 let p = &plays[*ply];
                 let product = &self.products[p.product];
-                if *ply == but || p.over || p.rung <= product.floor {
+                if p.over || p.rung <= product.floor {
                     continue;
                 }
-                let with = |o: &&usize| stream(&plays[**o]) == stream(p);
-                if product.live && self.servers[*s].plays[..i].iter().any(|o| with(&o)) {
+                let with = |o: &&usize| *o == ply || product.live && stream(&plays[**o]) == stream(p);
+                if self.servers[*s].plays[..i].iter().any(|o| with(&o)) {
                     continue;
                 }
-                let unit: Vec<usize> = if product.live {
-                    self.servers[*s].plays.iter().filter(with).copied().collect()
-                } else {
-                    vec![*ply]
-                };
+                let unit: Vec<usize> = self.servers[*s].plays.iter().filter(with).copied().collect();
                 let streams = 1.0 + (unit.len() - 1) as f64 * self.shared;
                 let freed = (self.rate(p, p.rung) - self.rate(p, p.rung - 1)) * streams;
                 let change = self.rule("extra.change_costs_s", 0.0) / ((QUIET + JITTER) / 1000.0);
                 let step = self.earns[p.rung] - self.earns[p.rung - 1] + change;
-                let lost = unit.len() as f64 * product.importance * step;
-                let per_kb = lost / freed.max(1e-9);
+                let per_kb = unit.len() as f64 * product.importance * step / freed.max(1e-9);
                 if best.as_ref().is_none_or(|b| per_kb < b.0) {
                     best = Some((per_kb, freed, unit));
                 }
@@ -778,8 +778,7 @@
         let link = &self.servers[s].link;
         let fronts = if link.known(now) { link.fronts.min(COMING) } else { link.fronts };
         room *= if room > 0.0 { 2.0 / (1.0 + fronts) } else { 1.0 };
-        let fits = |r: &usize| self.adds(plays, s, &plays[ply], ply, *r) <= room;
-        let mut rung = (floor..=top).rev().find(fits).unwrap_or(floor);
+        let mut rung = floor;
         room -= self.adds(plays, s, &plays[ply], ply, rung);
         let scope = self.scope(s, self.racks[self.servers[s].rack].share() > self.servers[s].link.share());
         let mut steps = Vec::new();
@@ -791,7 +790,7 @@
                 continue;
             }
             let gain = importance * (self.earns[rung + 1] - self.earns[rung]) / more.max(1e-9);
-            let Some((lost, freed, unit)) = self.cheapest(plays, &scope, ply) else { break };
+            let Some((lost, freed, unit)) = self.cheapest(plays, &scope) else { break };
             if lost * BARGAIN > gain {
                 break;
             }
