--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -325,3 +325,137 @@
     };
     assert!(rung(4.0) < rung(1.0), "{} {}", rung(4.0), rung(1.0));
 }
+
+#[test]
+fn among_hundreds_of_fronts_rungs_still_rise() {
+    let sizes = [("extra.link_unit_kb", 4000.0), ("extra.rack_link_kb", 20_000.0)];
+    let mut host = Host::new(&[("balancers", 200.0), sizes[0], sizes[1]]);
+    host.measure(0, 0.0);
+    let (ply, _) = host.start(0, 1);
+    (host.plays[ply].rung, host.now) = (0, host.now + 11_000.0);
+    host.measure(0, 0.02);
+    assert_eq!(host.ask(ply), Place::Stays { rung: 1 }, "only the fronts that meet there share its room");
+}
+
+#[test_case(0.01, 2; "as many as their price allows")]
+#[test_case(0.1, 0; "none where they cost too much")]
+fn holders_with_old_figures_are_probed_and_one_that_does_not_answer_is_left(price: f64, probes: usize) {
+    let mut host = Host::new(&[("ceilings.probes", 1.0), ("costs.probe", price)]);
+    for s in 0..4 {
+        host.lines[s].server += 4;
+    }
+    host.list();
+    host.now += 60_000.0;
+    let ply = host.take(0, 4);
+    if probes == 0 {
+        assert!(host.sent_to(ply).is_some());
+        return;
+    }
+    let Place::NotYet { sound_out } = host.ask(ply) else { panic!("it waits for the answers") };
+    assert_eq!(sound_out.len(), probes);
+    host.now += host.front.wait(host.now, &host.plays[ply]).unwrap();
+    host.measure(sound_out[0], 0.3);
+    assert_eq!(host.sent_to(ply), Some(sound_out[0]), "the other is silent");
+}
+
+#[test]
+fn a_play_near_its_limit_does_not_wait_for_probes() {
+    let mut host = Host::new(&[("ceilings.probes", 1.0), ("costs.probe", 0.01)]);
+    host.now += 60_000.0;
+    let ply = host.take(0, 4);
+    host.now = host.plays[ply].limit - 100.0;
+    assert!(host.sent_to(ply).is_some());
+}
+
+#[test]
+fn hundreds_of_fronts_together_do_not_rush_a_server_that_many_want() {
+    let mut sent = 0;
+    for i in 0..20 {
+        let rank = f64::from((i * 37) % 200);
+        let mut host = Host::new(&[("balancers", 200.0), ("rank", rank)]);
+        host.lines[0].born = host.now;
+        host.list();
+        host.now += 300.0 * f64::from(i);
+        let ply = host.take(0, 1);
+        sent += usize::from(host.sent_to(ply).is_some());
+    }
+    // 24 places over 12 s, half warm, twice that tips it over: 12 in 6 s, of which 0.6 is 7.
+    assert!(sent <= 7, "{sent} of 20 in 6 s");
+}
+
+#[test]
+fn a_front_that_sets_up_play_on_play_reckons_that_all_do() {
+    let flooded = |plays: usize| {
+        let mut host = Host::new(&[("balancers", 100.0), ("extra.fleet_kb", 100_000.0)]);
+        host.measure(1, 0.1);
+        (0..plays).for_each(|_| drop(host.start(0, 1)));
+        let ply = host.take(1, 1);
+        let Place::Send { rung, .. } = host.ask(ply) else { panic!("it is sent") };
+        rung
+    };
+    assert!(flooded(6) < flooded(0), "{} {}", flooded(6), flooded(0));
+}
+
+#[test_case(0.0, true; "free crossing")]
+#[test_case(0.05, false; "priced crossing")]
+fn zones_are_crossed_for_a_reason_only(price: f64, crosses: bool) {
+    let sizes = [("extra.link_unit_kb", 9000.0), ("extra.rack_link_kb", 90_000.0)];
+    let mut host = Host::new(&[("costs.cross_zone", price), sizes[0], sizes[1]]);
+    for s in 0..4 {
+        host.measure(s, if s % 2 == 0 { 0.5 } else { 0.1 });
+    }
+    let zones: Vec<usize> = (0..8).map(|_| host.start(0, 4).1 % 2).collect();
+    assert_eq!(zones.contains(&1), crosses);
+    host.measure(0, 1.0);
+    host.measure(2, 1.0);
+    assert_eq!(host.start(0, 4).1 % 2, 1, "a full zone is a reason");
+}
+
+#[test_case(f64::NAN)]
+#[test_case(-3.0)]
+#[test_case(f64::INFINITY)]
+#[test_case(1e300)]
+fn a_figure_that_cannot_be_is_no_end_of_a_server(x: f64) {
+    let mut host = Host::new(&[]);
+    let (ply, _) = host.start(0, 1);
+    for figure in [Figure::Link, Figure::LinkCapped, Figure::Uplink, Figure::Delivered, Figure::Streams] {
+        host.front.figure(host.now, &mut host.plays, 0, Some(ply), figure(x));
+        host.front.figure(host.now, &mut host.plays, 99, None, figure(x));
+    }
+    host.front.figure(host.now, &mut host.plays, 0, None, Figure::Streams(1.0));
+    host.now += 3000.0;
+    host.measure(0, 0.1);
+    assert_eq!(host.start(0, 1).1, 0);
+}
+
+#[test_case(&[("extra.cabinets", 0.0), ("extra.places", 0.0)]; "no racks or cells")]
+#[test_case(&[("extra.cabinets", 1e15), ("extra.places", 1e15)]; "more racks and cells than can be")]
+#[test_case(&[("balancers", 0.0), ("rank", 7.0)]; "no fronts")]
+#[test_case(&[("extra.class_floor.0", 9.0), ("extra.top_by_class.0", 3.0)]; "a floor above the ladder")]
+#[test_case(&[("extra.link_unit_kb", 0.0), ("extra.rack_link_kb", 0.0), ("extra.fleet_kb", 0.0)]; "no sizes")]
+#[test_case(&[("rules.cold", -1.0), ("rules.overload_factor", 0.0), ("costs.probe", -1.0)]; "odd rules")]
+fn odd_settings_make_no_panic(changes: &[(&str, f64)]) {
+    let mut host = Host::new(changes);
+    let ply = host.take(3, usize::MAX);
+    if host.sent_to(ply).is_some() {
+        host.after(ply, Outcome::Playing);
+        host.now += 20_000.0;
+        host.measure(0, 2.0);
+        assert!(matches!(host.ask(ply), Place::Stays { .. }));
+    } else {
+        assert!(host.plays[ply].over || host.front.wait(host.now, &host.plays[ply]).is_some());
+    }
+}
+
+#[test]
+fn a_list_that_repeats_and_flaps_names_each_holder_once() {
+    let mut host = Host::new(&[]);
+    host.lines.extend(host.lines.clone());
+    for standing in [Standing::Gone, Standing::Ready, Standing::Draining, Standing::Ready] {
+        host.lines.iter_mut().for_each(|l| l.standing = standing);
+        host.list();
+    }
+    host.measure(0, 0.5);
+    let servers: Vec<usize> = (0..8).map(|_| host.start(0, 1).1).collect();
+    assert_eq!(servers, vec![0; 8]);
+}
