--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,9 +17,7 @@
 /// Room left for the spread of true rates and for late figures, in parts of a play's rate over the root of
 /// the number of plays.
 const SPREAD: f64 = 0.3;
-/// Each other front is reckoned to have added this part of what this one has since a report was taken, and as
-/// much as this one in so many ms where that is more than a play.
-const OTHERS: f64 = 0.5;
+/// All fronts are reckoned to set up as much as this one does in so many ms, where that is over a play.
 const RECENT: f64 = 1_500.0;
 /// A step down of others must cost this much less importance than it buys.
 const BARGAIN: f64 = 1.5;
@@ -666,9 +664,8 @@
     fn room(&self, plays: &[Play], s: usize) -> f64 {
         let middle = self.ladder[self.ladder.len() / 2];
         let free = |pipe: &Pipe, asked: f64| {
-            let others = (pipe.fronts - 1.0) * OTHERS * pipe.own_change().max(0.0);
             let flood = (self.recent.0 - middle).max(0.0) * (self.fronts - 1.0) * pipe.size / self.fleet;
-            pipe.size - asked - others.max(flood) - SPREAD * (pipe.size * middle).sqrt()
+            pipe.size - asked - flood - SPREAD * (pipe.size * middle).sqrt()
         };
         let server = &self.servers[s];
         let guess = || (self.mean * server.link.size).max(self.own(plays, s) * server.link.fronts);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -312,20 +312,6 @@
     assert_eq!(rung, expected);
 }
 
-#[test]
-fn what_other_fronts_may_have_added_counts_against_room() {
-    let rung = |fronts: f64| {
-        let mut host = Host::new(&[("balancers", fronts)]);
-        host.measure(0, 0.1);
-        host.start(0, 1);
-        host.plays[0].top = 0;
-        let ply = host.take(0, 1);
-        let Place::Send { rung, .. } = host.ask(ply) else { panic!("it is sent") };
-        rung
-    };
-    assert!(rung(4.0) < rung(1.0), "{} {}", rung(4.0), rung(1.0));
-}
-
 #[test]
 fn among_hundreds_of_fronts_rungs_still_rise() {
     let sizes = [("extra.link_unit_kb", 4000.0), ("extra.rack_link_kb", 20_000.0)];
