Weigh declines by importance again, with the fronts that meet

A play is declined where it would take more importance than it brings, from the own plays there times the fronts that meet.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -341,7 +341,6 @@
         plays[ply].rung = rung.min(self.ladder.len().saturating_sub(1));
     }
 
-    /// The viewer left; an allocation may still be out.
     pub fn left(&mut self, plays: &mut [Play], ply: usize) {
         plays[ply].over = true;
     }
@@ -418,7 +417,7 @@
 
         // Holders that may be sent to at all; those that failed this play only if there are no others.
         let mut holders = prefer(self.holders(&plays[ply]), |s| !plays[ply].tried.contains(s));
-        holders.retain(|s| !self.crowded(plays, *s));
+        holders.retain(|s| !self.crowded(plays, *s, &plays[ply]));
         if holders.is_empty() {
             return (self.never(&mut plays[ply]), Vec::new());
         }
@@ -546,6 +545,7 @@
         }
         (play.server, play.sounded) = (None, false);
         play.tried.push(s);
+        play.rung = self.products[play.product].floor;
         play.over |= closed || play.playing;
         if play.over { Next::Nothing } else { Next::Ask }
     }
@@ -617,15 +617,19 @@
         if refusable { Place::Declined { pause } } else { Place::Failed }
     }
 
-    /// Whether a server or its rack stays short though all that this front has there is on the lowest rung: a
-    /// further play would take more from those there than it brings. Guards against floods that no rung can
-    /// carry and links that shrink under their plays; sends a viewer off for nothing just after a shortage.
-    fn crowded(&self, plays: &[Play], s: usize) -> bool {
+    /// Whether a play would take more importance from those there than it brings, as link or uplink stays
+    /// short. Guards against floods and links that shrink; may send a viewer off just after a shortage.
+    fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
         let (link, rack) = (&self.servers[s].link, &self.racks[self.servers[s].rack]);
-        let lowest = |ply: &usize| plays[*ply].rung <= self.products[plays[*ply].product].floor;
-        let all_low = |s: &usize| self.servers[*s].plays.iter().all(lowest);
-        link.short_twice() > SHORT && all_low(&s)
-            || rack.short_twice() > SHORT && self.scope(s, true).iter().all(all_low)
+        let uplink = rack.short_twice() > link.short_twice();
+        let pipe = if uplink { rack } else { link };
+        let short = pipe.short_twice() - 1.0;
+        let stall = self.rule("extra.stall_cost", 0.0);
+        let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
+        let scope = self.scope(s, uplink);
+        let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
+        let takes = self.rate(play, play.rung) / pipe.size * stall * there * pipe.fronts;
+        short > 0.0 && worth(play) * (1.0 - stall * short) <= takes
     }
 
     /// When the server may next be sent to: cold and doubted ones by this front's part of the warm-up's pace.
