--- a/src/logic.rs
+++ b/src/logic.rs
@@ -257,6 +257,7 @@
         }
     }
 
+    /// Whether the call sheet names this product.
     pub fn sells(&self, product: usize) -> bool {
         product < self.products.len()
     }
@@ -316,6 +317,7 @@
         }
     }
 
+    /// A play was taken.
     pub fn take(&mut self, now: f64, play: &mut Play) {
         if self.sheet.contains_key("rules.budget_share") {
             self.taken.push_back(now);
@@ -341,6 +343,7 @@
         plays[ply].rung = rung.min(self.ladder.len().saturating_sub(1));
     }
 
+    /// The viewer left; an allocation may still be out.
     pub fn left(&mut self, plays: &mut [Play], ply: usize) {
         plays[ply].over = true;
     }
@@ -377,7 +380,7 @@
         }
         // Short of room: this front's plays there give up their part, as every other front's do.
         let mut steps = Vec::new();
-        let (uplink, pipe) = self.shorter(s);
+        let (uplink, pipe) = self.shorter(s, Pipe::steady_share);
         let share = pipe.steady_share();
         if share > SHORT {
             let scope = self.scope(s, uplink);
@@ -475,8 +478,7 @@
             open.retain(unmeasured);
             open[self.rnd.rand_range(0..open.len() as u64) as usize]
         } else if total <= 0.0 {
-            let used =
-                |s: &usize| self.servers[*s].link.share().max(self.racks[self.servers[*s].rack].share());
+            let used = |s: &usize| self.shorter(*s, Pipe::share).1.share();
             *open.iter().min_by(|a, b| used(a).total_cmp(&used(b))).unwrap_or(&open[0])
         } else if self.rnd.rand_float() < WEIGHT {
             let best = (0..open.len()).max_by(|a, b| rooms[*a].total_cmp(&rooms[*b]));
@@ -620,9 +622,7 @@
     /// Whether a play would take more importance from those there than it brings, as link or uplink stays
     /// short. Guards against floods and links that shrink; may send a viewer off just after a shortage.
     fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
-        let (link, rack) = (&self.servers[s].link, &self.racks[self.servers[s].rack]);
-        let uplink = rack.short_twice() > link.short_twice();
-        let pipe = if uplink { rack } else { link };
+        let (uplink, pipe) = self.shorter(s, Pipe::short_twice);
         let short = pipe.short_twice() - 1.0;
         let stall = self.rule("extra.stall_cost", 0.0);
         let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
@@ -711,10 +711,10 @@
         self.racks[rack].change(now, kb);
     }
 
-    /// The shorter of a server's link and its rack's uplink, and whether that is the uplink.
-    fn shorter(&self, s: usize) -> (bool, &Pipe) {
+    /// The shorter of a server's link and its rack's uplink by this measure, and whether that is the uplink.
+    fn shorter(&self, s: usize, by: fn(&Pipe) -> f64) -> (bool, &Pipe) {
         let (link, rack) = (&self.servers[s].link, &self.racks[self.servers[s].rack]);
-        if rack.steady_share() > link.steady_share() { (true, rack) } else { (false, link) }
+        if by(rack) > by(link) { (true, rack) } else { (false, link) }
     }
 
     fn scope(&self, s: usize, uplink: bool) -> Vec<usize> {
@@ -781,7 +781,7 @@
         room *= if room > 0.0 { 2.0 / (1.0 + fronts) } else { 1.0 };
         let mut rung = floor;
         room -= self.adds(plays, s, &plays[ply], ply, rung);
-        let scope = self.scope(s, self.racks[self.servers[s].rack].share() > self.servers[s].link.share());
+        let scope = self.scope(s, self.shorter(s, Pipe::share).0);
         let mut steps = Vec::new();
         while rung < top {
             let more = self.next_rung(plays, s, ply, rung);
