Move play-keeping out of the adapter into a desk that the real front will share

The adapter mixed decoding with play-keeping, timers and indices, which the running front needs as well. crates/desk now keeps them, free of I/O, puts the module's three questions and has the answers carried out through the small trait Hands; crates/drill only decodes and encodes. The module is unchanged.

A tape of 600 batches of a made-up deployment was recorded from the adapter before the move (tests/tape.rs tells how) and is replayed as a test: the replies are the same to the byte.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -1,35 +1,14 @@
-//! The instances of one process: decodes events into calls, keeps plays and timers, encodes the answers.
+//! The instances of one process: decodes events into calls on their desks, encodes what the desks want done.
 
 use crate::frame::{Fields, Reply, records, us};
-use pulleystair::logic::Front;
-use pulleystair::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Standing, Steps, Value};
+use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing, Value};
+use pulleystair_desk::{Desk, Hands, Wish};
 use serde_json::Value as Json;
-use std::collections::{BTreeMap, HashMap};
-
-/// The timer that reminds a front of its subscription; all others are play slots.
-const FOLLOW: u32 = u32::MAX;
-
-/// Small indices for wide ids, in order of first sight.
-#[derive(Default)]
-struct Indices(HashMap<u64, usize>);
-
-impl Indices {
-    fn of(&mut self, id: u64) -> usize {
-        let next = self.0.len();
-        *self.0.entry(id).or_insert(next)
-    }
-}
+use std::collections::BTreeMap;
 
 struct Instance {
-    front: Front,
-    plays: Vec<Play>,
-    /// For each slot of `plays`: the wire's id, and when its timer is due.
-    slots: Vec<(u64, Option<f64>)>,
-    free: Vec<usize>,
-    by_id: HashMap<u64, usize>,
-    server_index: Indices,
-    server_ids: Vec<u32>,
-    titles: Indices,
+    desk: Desk,
+    /// What the values of a load report are, in order.
     columns: Vec<String>,
 }
 
@@ -81,7 +60,7 @@
                 match call_sheet(f.bytes(size)?) {
                     Ok(sheet) => {
                         let mut instance = Instance::new(sheet, salt);
-                        instance.follow(who, false, &mut reply);
+                        instance.desk.follow(false, &mut Wire { who, reply: &mut reply });
                         self.instances.insert(who, instance);
                     }
                     Err(e) => die(who, &f.fault(&e), &mut reply),
@@ -89,7 +68,7 @@
             } else if code == 25 {
                 self.instances.remove(&who);
             } else if let Some(instance) = self.instances.get_mut(&who) {
-                instance.event(now, code, who, &mut f, &self.tables, &mut reply)?;
+                instance.event(now, code, &mut f, &self.tables, &mut Wire { who, reply: &mut reply })?;
             } else {
                 eprintln!("pulleystair-drill: {}", f.fault(&format!("there is no instance {who}")));
             }
@@ -176,48 +155,16 @@
             Some(Value::Text(t)) => Some(t.clone()),
             _ => None,
         };
-        Instance {
-            columns: (0..).map_while(column).collect(),
-            front: Front::new(sheet, salt),
-            plays: Vec::new(),
-            slots: Vec::new(),
-            free: Vec::new(),
-            by_id: HashMap::new(),
-            server_index: Indices::default(),
-            server_ids: Vec::new(),
-            titles: Indices::default(),
-        }
-    }
-
-    fn server(&mut self, id: u32) -> usize {
-        let index = self.server_index.of(id.into());
-        if index == self.server_ids.len() {
-            self.server_ids.push(id);
-        }
-        index
-    }
-
-    fn keep(&mut self, id: u64, play: Play) -> usize {
-        let ply = self.free.pop().unwrap_or(self.plays.len());
-        if ply == self.plays.len() {
-            self.plays.push(play);
-            self.slots.push((id, None));
-        } else {
-            self.plays[ply] = play;
-            self.slots[ply] = (id, None);
-        }
-        self.by_id.insert(id, ply);
-        ply
+        Instance { columns: (0..).map_while(column).collect(), desk: Desk::new(sheet, salt) }
     }
 
     fn event(
         &mut self,
         now: f64,
         code: u8,
-        who: u32,
         f: &mut Fields,
         tables: &BTreeMap<u8, Vec<Line>>,
-        reply: &mut Reply,
+        hands: &mut Wire,
     ) -> Result<(), String> {
         match code {
             17 => {
@@ -225,14 +172,12 @@
                 f.u64()?;
                 let table = f.u8()?;
                 if how == 3 {
-                    self.follow(who, true, reply);
+                    self.desk.follow(true, hands);
                     return Ok(());
                 }
                 let lines =
                     tables.get(&table).ok_or_else(|| f.fault(&format!("there is no census {table}")))?;
-                let lines: Vec<Listing> =
-                    lines.iter().map(|(id, line)| Listing { server: self.server(*id), ..*line }).collect();
-                self.front.list(now, how != 0, how == 2, &lines);
+                self.desk.list(now, how != 0, how == 2, lines);
             }
             18 => {
                 let id = f.u64()?;
@@ -241,209 +186,135 @@
                 f.u8()?;
                 let holders = f.f32()?.max(0.0) as usize;
                 f.u32()?;
-                let title = self.titles.of(f.u64()?);
+                let title = f.u64()?;
                 let limit = now + f.ms()?;
                 let first_cell = f.f32()?.max(0.0) as usize;
                 f.ms()?;
                 let product = f.u16()?.into();
-                let play =
-                    Play { product, title, first_cell, holders, top, came: now, limit, ..Play::default() };
-                if !self.front.sells(product) {
-                    die(who, &f.fault(&format!("there is no product {product}")), reply);
-                    return Ok(());
+                let wish = Wish { product, title, first_cell, holders, top, limit };
+                if self.sells(&wish, f, hands) {
+                    self.desk.take(now, id, &wish, hands);
                 }
-                let ply = self.keep(id, play);
-                self.front.take(now, &mut self.plays[ply]);
-                self.ask(now, who, ply, reply);
             }
             26 => {
                 let id = f.u64()?;
                 let product = f.u16()?.into();
                 f.u32()?;
                 f.u64()?;
-                let title = self.titles.of(f.u64()?);
+                let title = f.u64()?;
                 let limit = now + f.ms()?;
                 f.ms()?;
                 let first_cell = f.f32()?.max(0.0) as usize;
                 let holders = f.f32()?.max(0.0) as usize;
                 let top = f.f32()?.max(0.0) as usize;
                 f.u8()?;
-                let server = Some(self.server(f.u32()?));
-                let play = Play {
-                    product,
-                    title,
-                    first_cell,
-                    holders,
-                    top,
-                    came: now,
-                    limit,
-                    server,
-                    ..Play::default()
-                };
-                if !self.front.sells(product) {
-                    die(who, &f.fault(&format!("there is no product {product}")), reply);
-                    return Ok(());
-                }
-                let ply = self.keep(id, play);
-                self.front.adopt(now, &mut self.plays, ply);
-                self.set_timer(now, who, ply, reply);
-            }
-            19 => {
-                let id = f.u64()?;
-                if let Some(&ply) = self.by_id.get(&id) {
-                    self.front.after(now, &mut self.plays, ply, Outcome::Playing, false);
-                    self.set_timer(now, who, ply, reply);
+                let server = f.u32()?;
+                let wish = Wish { product, title, first_cell, holders, top, limit };
+                if self.sells(&wish, f, hands) {
+                    self.desk.adopt(now, id, &wish, server, hands);
                 }
             }
+            19 => self.desk.playing(now, f.u64()?, hands),
             20 => {
                 let id = f.u64()?;
                 let outcome = outcome(f.u16()?).map_err(|e| f.fault(&e))?;
                 let closed = f.u8()? != 0;
                 f.u8()?;
-                let id_of_server = f.u32()?;
-                let server = self.server(id_of_server);
+                let server = f.u32()?;
                 f.ms()?;
-                let stats = f.numbers()?;
-                let next = self
-                    .by_id
-                    .get(&id)
-                    .map(|&ply| (ply, self.front.after(now, &mut self.plays, ply, outcome, closed)));
-                self.report(now, who, server, &stats, reply);
-                match next {
-                    Some((ply, Next::Ask)) => self.ask(now, who, ply, reply),
-                    Some((ply, Next::Nothing)) => self.release(ply),
-                    None => {}
-                }
-            }
-            21 => {
-                let id = f.u64()?;
-                if let Some(&ply) = self.by_id.get(&id) {
-                    self.front.left(&mut self.plays, ply);
-                    self.release(ply);
-                }
-            }
-            22 => {
-                let ctx = f.u32()?;
-                let ply = ctx as usize;
-                if ctx == FOLLOW {
-                    self.follow(who, false, reply);
-                } else if self.slots.get(ply).and_then(|s| s.1).is_some_and(|due| due <= now) {
-                    self.slots[ply].1 = None;
-                    self.ask(now, who, ply, reply);
-                }
+                let load = self.load(&f.numbers()?);
+                self.desk.ended(now, id, server, outcome, closed, &load, hands);
             }
+            21 => self.desk.left(f.u64()?, hands),
+            22 => self.desk.rings(now, f.u32()?, hands),
             23 => {
                 f.ms()?;
                 f.u16()?;
-                let id = f.u32()?;
-                let server = self.server(id);
-                let stats = f.numbers()?;
-                self.report(now, who, server, &stats, reply);
+                let server = f.u32()?;
+                let load = self.load(&f.numbers()?);
+                self.desk.report(now, server, &load, hands);
             }
             27 => {
                 let id = f.u64()?;
                 let amount = f.f32()?;
-                let server_id = f.u32()?;
-                let what = f.u8()?;
-                let server = self.server(server_id);
-                let Some(&ply) = self.by_id.get(&id) else { return Ok(()) };
-                let figure = match what {
-                    1 => Figure::Delivered(amount),
-                    3 => Figure::Link(amount),
-                    4 => Figure::Uplink(amount),
-                    2 => {
-                        self.front.rung_told(&mut self.plays, ply, amount.max(0.0) as usize);
-                        return Ok(());
-                    }
-                    _ => return Ok(()),
-                };
-                let steps = self.front.figure(now, &mut self.plays, server, Some(ply), figure);
-                self.grade(now, who, &steps, reply);
+                let server = f.u32()?;
+                match f.u8()? {
+                    1 => self.desk.note(now, id, server, Figure::Delivered(amount), hands),
+                    2 => self.desk.rung_told(id, amount.max(0.0) as usize),
+                    3 => self.desk.note(now, id, server, Figure::Link(amount), hands),
+                    4 => self.desk.note(now, id, server, Figure::Uplink(amount), hands),
+                    _ => {}
+                }
             }
             _ => {}
         }
         Ok(())
     }
 
-    /// Asks where a play goes, and says so on the wire.
-    fn ask(&mut self, now: f64, who: u32, ply: usize, reply: &mut Reply) {
-        let id = self.slots[ply].0.to_le_bytes();
-        let was = self.plays[ply].rung;
-        let (place, steps) = self.front.place(now, &mut self.plays, ply);
-        self.grade(now, who, &steps, reply);
-        match place {
-            Place::Send { server, rung, time_out } => {
-                reply.record(28, who, &[&id, &[rung as u8]]);
-                reply.record(
-                    29,
-                    who,
-                    &[&id, &us(time_out.max(0.001)), &self.server_ids[server].to_le_bytes()],
-                );
-            }
-            Place::Stays { rung } if rung != was => reply.record(28, who, &[&id, &[rung as u8]]),
-            Place::Stays { .. } => {}
-            Place::NotYet { sound_out } => {
-                for server in sound_out {
-                    reply.record(18, who, &[&self.server_ids[server].to_le_bytes()]);
-                }
-            }
-            Place::Declined { pause } => reply.record(17, who, &[&id, &us(pause)]),
-            Place::Failed => reply.record(25, who, &[&id]),
+    fn sells(&self, wish: &Wish, f: &Fields, hands: &mut Wire) -> bool {
+        let sells = self.desk.sells(wish.product);
+        if !sells {
+            die(hands.who, &f.fault(&format!("there is no product {}", wish.product)), hands.reply);
         }
-        self.set_timer(now, who, ply, reply);
-        self.release(ply);
+        sells
     }
 
-    fn report(&mut self, now: f64, who: u32, server: usize, stats: &[f64], reply: &mut Reply) {
-        for (i, value) in stats.iter().enumerate() {
-            let figure = match self.columns.get(i).map(String::as_str) {
-                Some("x0") => Figure::Link(*value),
-                Some("utilization") => Figure::LinkCapped(*value),
-                Some("x1") => Figure::Uplink(*value),
-                Some("outstanding") => Figure::Streams(*value),
-                _ => continue,
-            };
-            let steps = self.front.figure(now, &mut self.plays, server, None, figure);
-            self.grade(now, who, &steps, reply);
-        }
+    /// The figures of a load report, by the names of its columns.
+    fn load(&self, stats: &[f64]) -> Vec<Figure> {
+        let figure = |(column, value): (&String, &f64)| match column.as_str() {
+            "x0" => Some(Figure::Link(*value)),
+            "utilization" => Some(Figure::LinkCapped(*value)),
+            "x1" => Some(Figure::Uplink(*value)),
+            "outstanding" => Some(Figure::Streams(*value)),
+            _ => None,
+        };
+        self.columns.iter().zip(stats).filter_map(figure).collect()
     }
+}
 
-    fn grade(&mut self, now: f64, who: u32, steps: &Steps, reply: &mut Reply) {
-        for (ply, rung) in steps {
-            reply.record(28, who, &[&self.slots[*ply].0.to_le_bytes(), &[*rung as u8]]);
-            self.set_timer(now, who, *ply, reply);
-        }
+/// Writes what an instance's desk wants done as records of the reply.
+struct Wire<'a> {
+    who: u32,
+    reply: &'a mut Reply,
+}
+
+impl Wire<'_> {
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        self.reply.record(code, self.who, fields);
     }
+}
 
-    /// Sets the play's timer anew where the wait has changed; stale ones are passed over when they ring.
-    fn set_timer(&mut self, now: f64, who: u32, ply: usize, reply: &mut Reply) {
-        let due = self.front.wait(now, &self.plays[ply]).map(|wait| (wait, now + wait));
-        if due.map(|d| d.1) != self.slots[ply].1 {
-            self.slots[ply].1 = due.map(|d| d.1);
-            if let Some((wait, _)) = due {
-                reply.record(24, who, &[&(ply as u32).to_le_bytes(), &us(wait)]);
-            }
-        }
+impl Hands for Wire<'_> {
+    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
+        self.step(play, rung);
+        self.record(29, &[&play.to_le_bytes(), &us(time_out.max(0.001)), &server.to_le_bytes()]);
     }
 
-    /// Gives up the slot of a play that is over and has nothing out.
-    fn release(&mut self, ply: usize) {
-        if self.plays[ply].over
-            && self.plays[ply].server.is_none()
-            && self.by_id.remove(&self.slots[ply].0).is_some()
-        {
-            self.slots[ply].1 = None;
-            self.free.push(ply);
-        }
+    /// The bench withdraws by itself what a viewer has left.
+    fn withdraw(&mut self, _play: u64) {}
+
+    fn step(&mut self, play: u64, rung: usize) {
+        self.record(28, &[&play.to_le_bytes(), &[rung as u8]]);
     }
 
-    /// Asks discovery for changes, now or later, where the front says that it must be asked.
-    fn follow(&mut self, who: u32, failed: bool, reply: &mut Reply) {
-        match self.front.follow(failed) {
-            Some(0.0) => reply.record(21, who, &[&[1]]),
-            Some(pause) => reply.record(24, who, &[&FOLLOW.to_le_bytes(), &us(pause)]),
-            None => {}
-        }
+    fn probe(&mut self, server: u32) {
+        self.record(18, &[&server.to_le_bytes()]);
+    }
+
+    fn declined(&mut self, play: u64, pause: f64) {
+        self.record(17, &[&play.to_le_bytes(), &us(pause)]);
+    }
+
+    fn failed(&mut self, play: u64) {
+        self.record(25, &[&play.to_le_bytes()]);
+    }
+
+    fn wake(&mut self, mark: u32, wait: f64) {
+        self.record(24, &[&mark.to_le_bytes(), &us(wait)]);
+    }
+
+    fn follow(&mut self) {
+        self.record(21, &[&[1]]);
     }
 }
 
