--- /dev/null
+++ b/crates/dash/src/token.rs
@@ -0,0 +1,164 @@
+//! Tokens as JSON Web Tokens (RFC 7519), signed by HMAC-SHA256 (RFC 7518, section 3.2).
+//!
+//! An entry token comes from the portal and asks for one play. A session token (a pass) is made by the front
+//! and opens that play's segments. Each names its key by `kid` (RFC 7515, section 4.1.4); a ring holds the
+//! keys that are live: the newest signs, all of them are read.
+
+use jsonwebtoken::{Algorithm, DecodingKey, EncodingKey, Header, Validation};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The longest token that is read, bytes.
+pub const LONGEST: usize = 1024;
+/// Bytes that a key must have, RFC 7518 section 3.2: no fewer than the hash's output.
+pub const KEY_BYTES: usize = 32;
+/// Keys that may be live at once: the one in service, the one that comes, the one that goes.
+pub const MOST_KEYS: usize = 3;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The session: a request with the same one is the same play.
+    pub jti: String,
+    /// The viewer.
+    pub sub: String,
+    pub product: String,
+    pub title: String,
+    /// Highest rung that the viewer can use.
+    pub top: usize,
+    /// Until when it may be used, s since 1970.
+    pub exp: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pass {
+    /// The session it was made for.
+    pub sid: String,
+    pub product: String,
+    pub title: String,
+    pub exp: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    #[error("token missing")]
+    Missing,
+    #[error("token over {LONGEST} bytes")]
+    TooLong,
+    #[error("token malformed")]
+    Malformed,
+    #[error("token signed by no key known here")]
+    UnknownKey,
+    #[error("token signature wrong")]
+    Forged,
+    #[error("token expired")]
+    Expired,
+    #[error("token is for another title or product")]
+    Foreign,
+}
+
+impl Fault {
+    /// The HTTP status that answers it.
+    pub fn status(self) -> u16 {
+        match self {
+            Fault::Expired => 410,
+            Fault::Foreign => 403,
+            _ => 401,
+        }
+    }
+}
+
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyFault {
+    #[error("key {0:?} has {1} bytes, fewer than {KEY_BYTES}")]
+    Short(String, usize),
+    #[error("key {0:?} is there twice")]
+    Twice(String),
+    #[error("{0} keys; 1 to {MOST_KEYS} are allowed")]
+    Count(usize),
+}
+
+struct Key {
+    kid: String,
+    sign: EncodingKey,
+    read: DecodingKey,
+}
+
+/// The live keys, the newest first.
+pub struct Ring(Vec<Key>);
+
+impl fmt::Debug for Ring {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.debug_list().entries(self.0.iter().map(|k| &k.kid)).finish()
+    }
+}
+
+impl Ring {
+    /// Keys by their ids; the first one signs.
+    pub fn new(keys: &[(String, Vec<u8>)]) -> Result<Ring, KeyFault> {
+        if keys.is_empty() || keys.len() > MOST_KEYS {
+            return Err(KeyFault::Count(keys.len()));
+        }
+        for (i, (kid, secret)) in keys.iter().enumerate() {
+            if secret.len() < KEY_BYTES {
+                return Err(KeyFault::Short(kid.clone(), secret.len()));
+            }
+            if keys[..i].iter().any(|k| k.0 == *kid) {
+                return Err(KeyFault::Twice(kid.clone()));
+            }
+        }
+        let key = |(kid, secret): &(String, Vec<u8>)| Key {
+            kid: kid.clone(),
+            sign: EncodingKey::from_secret(secret),
+            read: DecodingKey::from_secret(secret),
+        };
+        Ok(Ring(keys.iter().map(key).collect()))
+    }
+
+    pub fn sign(&self, claims: &impl Serialize) -> String {
+        let key = &self.0[0];
+        let header = Header { kid: Some(key.kid.clone()), ..Header::new(Algorithm::HS256) };
+        jsonwebtoken::encode(&header, claims, &key.sign).expect("plain claims are signed by any key")
+    }
+
+    fn read<T: for<'a> Deserialize<'a>>(&self, token: &str) -> Result<T, Fault> {
+        if token.is_empty() {
+            return Err(Fault::Missing);
+        }
+        if token.len() > LONGEST {
+            return Err(Fault::TooLong);
+        }
+        let header = jsonwebtoken::decode_header(token).map_err(|_| Fault::Malformed)?;
+        if header.alg != Algorithm::HS256 {
+            return Err(Fault::Forged);
+        }
+        let key = header.kid.as_deref().and_then(|kid| self.0.iter().find(|k| k.kid == kid));
+        let key = key.ok_or(Fault::UnknownKey)?;
+        let mut signature = Validation::new(Algorithm::HS256);
+        // Times are compared here, by the caller's clock.
+        signature.validate_exp = false;
+        signature.required_spec_claims.clear();
+        let token = jsonwebtoken::decode::<T>(token, &key.read, &signature);
+        Ok(token.map_err(|e| match e.kind() {
+            jsonwebtoken::errors::ErrorKind::InvalidSignature => Fault::Forged,
+            _ => Fault::Malformed,
+        })?
+        .claims)
+    }
+
+    /// Reads an entry token at `now`, s since 1970, for the product and title that are asked for.
+    pub fn entry(&self, token: &str, now: u64, product: &str, title: &str) -> Result<Entry, Fault> {
+        let entry: Entry = self.read(token)?;
+        if entry.product != product || entry.title != title {
+            return Err(Fault::Foreign);
+        }
+        if entry.jti.is_empty() || entry.jti.len() > 64 {
+            return Err(Fault::Malformed);
+        }
+        if entry.exp <= now { Err(Fault::Expired) } else { Ok(entry) }
+    }
+
+    pub fn pass(&self, token: &str, now: u64) -> Result<Pass, Fault> {
+        let pass: Pass = self.read(token)?;
+        if pass.exp <= now { Err(Fault::Expired) } else { Ok(pass) }
+    }
+}
--- /dev/null
+++ b/crates/dash/tests/path.rs
@@ -0,0 +1,129 @@
+//! Manifests read back by an independent parser; addresses and tokens, good and bad.
+
+use pulleystair_dash::address::{self, Address};
+use pulleystair_dash::mpd::Presentation;
+use pulleystair_dash::token::{Entry, Fault, KeyFault, Pass, Ring};
+use test_case::test_case;
+
+#[test_case(34_000, 2000, 17; "whole segments")]
+#[test_case(34_500, 2000, 18; "a short last one")]
+#[test_case(10, 2000, 1; "one short one")]
+fn a_manifest_is_read_back_by_an_independent_parser(duration_ms: u64, segment_ms: u64, segments: u64) {
+    let ladder = vec![50.0, 120.5, 300.0];
+    let base = address::base("a.b.c");
+    let it = Presentation { title: "forms & fees <1>".into(), base, duration_ms, segment_ms, ladder };
+    assert_eq!(it.segments(), segments);
+    let mpd = dash_mpd::parse(&it.write()).expect("the independent parser reads it");
+    assert_eq!(mpd.mpdtype.as_deref(), Some("static"));
+    assert_eq!(mpd.id.as_deref(), Some("forms & fees <1>"));
+    assert_eq!(mpd.mediaPresentationDuration.unwrap().as_millis() as u64, duration_ms);
+    assert_eq!(mpd.base_url[0].base, "/s/a.b.c/");
+    let sets = &mpd.periods[0].adaptations;
+    assert_eq!((mpd.periods.len(), sets.len()), (1, 1));
+    let template = sets[0].SegmentTemplate.as_ref().unwrap();
+    assert_eq!((template.timescale, template.duration), (Some(1000), Some(segment_ms as f64)));
+    assert_eq!(template.startNumber, Some(1));
+    assert_eq!(template.media.as_deref(), Some("$RepresentationID$/$Number$.m4s"));
+    let rates: Vec<u64> = sets[0].representations.iter().filter_map(|r| r.bandwidth).collect();
+    assert_eq!(rates, [400_000, 964_000, 2_400_000]);
+}
+
+#[test]
+fn addresses_are_read() {
+    let manifest = address::manifest("guide", "forms", "x.y.z");
+    let entry = Some("x.y.z");
+    assert_eq!(address::read(&manifest), Some(Address::Manifest { product: "guide", title: "forms", entry }));
+    assert_eq!(address::read("/s/p/2/17.m4s"), Some(Address::Segment { pass: "p", rung: 2, number: 17 }));
+    assert_eq!(address::read("/s/p/0/init.mp4"), Some(Address::Segment { pass: "p", rung: 0, number: 0 }));
+    assert_eq!(address::read("/s/p/"), Some(Address::Session { pass: "p" }));
+}
+
+#[test_case("/"; "root")]
+#[test_case("/v1/guide/forms"; "no file")]
+#[test_case("/v1/../forms/manifest.mpd"; "climbing")]
+#[test_case("/v1/guide/fo%2frms/manifest.mpd"; "escaped")]
+#[test_case("/s//0/1.m4s"; "no pass")]
+#[test_case("/s/p/0/0.m4s"; "number zero")]
+#[test_case("/s/p/0/+1.m4s"; "sign")]
+#[test_case("/s/p/0/99999999999999999999.m4s"; "too many digits")]
+#[test_case("/s/p/0/1.m4s/x"; "longer")]
+#[test_case("s/p/0/1.m4s"; "relative")]
+fn nothing_is_served_elsewhere(target: &str) {
+    assert_eq!(address::read(target), None);
+}
+
+fn secret(byte: u8) -> Vec<u8> {
+    vec![byte; 32]
+}
+
+fn ring(kids: &[(&str, u8)]) -> Ring {
+    let keys: Vec<(String, Vec<u8>)> = kids.iter().map(|(k, b)| (k.to_string(), secret(*b))).collect();
+    Ring::new(&keys).unwrap()
+}
+
+fn entry() -> Entry {
+    let text = |t: &str| t.to_string();
+    Entry { jti: text("s1"), sub: text("v"), product: text("guide"), title: text("forms"), top: 2, exp: 100 }
+}
+
+#[test]
+fn two_keys_are_read_and_the_first_signs() {
+    let old = ring(&[("k1", 1)]);
+    let both = ring(&[("k2", 2), ("k1", 1)]);
+    let new = ring(&[("k2", 2)]);
+    let token = old.sign(&entry());
+    assert_eq!(both.entry(&token, 99, "guide", "forms"), Ok(entry()));
+    assert_eq!(new.entry(&token, 99, "guide", "forms"), Err(Fault::UnknownKey));
+    assert_eq!(new.entry(&both.sign(&entry()), 99, "guide", "forms"), Ok(entry()));
+}
+
+#[test_case(100, "guide", "forms", Fault::Expired, 410; "expired")]
+#[test_case(99, "guide", "fees", Fault::Foreign, 403; "another title")]
+#[test_case(99, "live", "forms", Fault::Foreign, 403; "another product")]
+fn an_entry_token_is_held_to_its_claims(now: u64, product: &str, title: &str, fault: Fault, status: u16) {
+    let ring = ring(&[("k1", 1)]);
+    let refused = ring.entry(&ring.sign(&entry()), now, product, title).unwrap_err();
+    assert_eq!((refused, refused.status()), (fault, status));
+}
+
+#[test]
+fn tampered_tokens_are_forged_or_malformed_and_never_read() {
+    let mine = ring(&[("k1", 1)]);
+    let token = mine.sign(&entry());
+    assert_eq!(mine.entry(&ring(&[("k1", 9)]).sign(&entry()), 1, "guide", "forms"), Err(Fault::Forged));
+    assert_eq!(mine.entry("", 1, "guide", "forms"), Err(Fault::Missing));
+    assert_eq!(mine.entry(&"a".repeat(2000), 1, "guide", "forms"), Err(Fault::TooLong));
+    // alg none: {"alg":"none","kid":"k1"}
+    let body = token.split('.').nth(1).unwrap();
+    let none = format!("eyJhbGciOiJub25lIiwia2lkIjoiazEifQ.{body}.");
+    assert_eq!(mine.entry(&none, 1, "guide", "forms").map_err(Fault::status), Err(401));
+    for at in 0..token.len() {
+        let mut bytes = token.clone().into_bytes();
+        bytes[at] = if bytes[at] == b'A' { b'B' } else { b'A' };
+        let changed = String::from_utf8(bytes).unwrap();
+        // The last character of the signature holds two bits that no byte needs.
+        if at + 1 < token.len() {
+            assert!(mine.entry(&changed, 1, "guide", "forms").is_err(), "changed at {at}");
+        }
+    }
+}
+
+#[test]
+fn an_entry_is_no_pass_and_a_pass_no_entry() {
+    let ring = ring(&[("k1", 1)]);
+    let pass = Pass { sid: "s1".into(), product: "guide".into(), title: "forms".into(), exp: 100 };
+    assert_eq!(ring.pass(&ring.sign(&pass), 99), Ok(pass.clone()));
+    assert_eq!(ring.pass(&ring.sign(&pass), 100), Err(Fault::Expired));
+    assert_eq!(ring.pass(&ring.sign(&entry()), 99), Err(Fault::Malformed));
+    assert_eq!(ring.entry(&ring.sign(&pass), 99, "guide", "forms"), Err(Fault::Malformed));
+}
+
+#[test_case(&[], "0 keys"; "none")]
+#[test_case(&[("a", 16)], "16 bytes"; "short")]
+#[test_case(&[("a", 32), ("a", 32)], "twice"; "twice")]
+fn a_bad_ring_is_refused(keys: &[(&str, usize)], says: &str) {
+    let keys: Vec<(String, Vec<u8>)> = keys.iter().map(|(k, n)| (k.to_string(), vec![7; *n])).collect();
+    let fault: KeyFault = Ring::new(&keys).unwrap_err();
+    assert!(fault.to_string().contains(says), "{fault}");
+    assert_eq!(format!("{:?}", ring(&[("k1", 1)])), "[\"k1\"]", "no key material in Debug");
+}
--- /dev/null
+++ b/crates/templates/src/lib.rs
@@ -0,0 +1,94 @@
+//! Files given as Jsonnet templates: evaluated, then read into a typed value. Imports come only from the
+//! folder of the file that is loaded and from below it. A fault names the file, the path in it, and what
+//! was found.
+
+use jrsonnet_evaluator::error::Error as JsonnetError;
+use jrsonnet_evaluator::{EvaluationState, FileImportResolver, IStr, ImportResolver, error::Result as Evaluated};
+use serde::de::DeserializeOwned;
+use std::any::Any;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{file}: can't be read: {cause}")]
+    Unreadable { file: String, cause: std::io::Error },
+    #[error("{file}: does not evaluate: {cause}")]
+    Jsonnet { file: String, cause: String },
+    #[error("{file}: {path}: {cause}")]
+    Value { file: String, path: String, cause: String },
+}
+
+/// The largest file that is evaluated, bytes.
+pub const LARGEST: u64 = 1 << 20;
+/// Nested calls at most, so that a template that calls itself ends with an error.
+const DEPTH: usize = 200;
+
+struct WithinFolder {
+    root: PathBuf,
+    files: FileImportResolver,
+}
+
+impl ImportResolver for WithinFolder {
+    fn resolve_file(&self, from: &Path, path: &Path) -> Evaluated<Rc<Path>> {
+        let resolved = self.files.resolve_file(from, path)?;
+        let within = resolved.canonicalize().is_ok_and(|real| real.starts_with(&self.root));
+        if within {
+            return Ok(resolved);
+        }
+        let (path, root) = (path.display(), self.root.display());
+        Err(JsonnetError::RuntimeError(format!("import of {path}: lies outside the folder {root}").into()).into())
+    }
+
+    fn load_file_contents(&self, resolved: &Path) -> Evaluated<IStr> {
+        self.files.load_file_contents(resolved)
+    }
+
+    unsafe fn as_any(&self) -> &dyn Any {
+        self
+    }
+}
+
+/// Evaluates a Jsonnet file to JSON text.
+pub fn evaluate(file: &Path) -> Result<String, Fault> {
+    let name = file.display().to_string();
+    let unreadable = |cause| Fault::Unreadable { file: name.clone(), cause };
+    let real = file.canonicalize().map_err(unreadable)?;
+    let size = std::fs::metadata(&real).map_err(unreadable)?.len();
+    if size > LARGEST {
+        let cause = format!("has {size} bytes, over {LARGEST}");
+        return Err(Fault::Jsonnet { file: name, cause });
+    }
+    let root = real.parent().unwrap_or(Path::new("/")).to_path_buf();
+    let state = EvaluationState::default();
+    state.with_stdlib();
+    state.set_max_stack(DEPTH);
+    state.set_import_resolver(Box::new(WithinFolder {
+        root,
+        files: FileImportResolver::default(),
+    }));
+    let jsonnet = |e| Fault::Jsonnet { file: name.clone(), cause: state.stringify_err(&e) };
+    let value = state.evaluate_file_raw(&real).map_err(jsonnet)?;
+    let json = state.manifest(value).map_err(jsonnet)?;
+    Ok(json.to_string())
+}
+
+/// Evaluates a Jsonnet file and reads it into a typed value.
+pub fn load<T: DeserializeOwned>(file: &Path) -> Result<T, Fault> {
+    let json = evaluate(file)?;
+    let mut reader = serde_json::Deserializer::from_str(&json);
+    serde_path_to_error::deserialize(&mut reader).map_err(|e| Fault::Value {
+        file: file.display().to_string(),
+        path: e.path().to_string(),
+        cause: e.inner().to_string().split(" at line").next().unwrap_or_default().to_string(),
+    })
+}
+
+/// A fault found in a value that reads well but can't be: names file, path, what was found, what is allowed.
+pub fn refused(file: &Path, path: &str, found: impl std::fmt::Display, allowed: &str) -> Fault {
+    Fault::Value {
+        file: file.display().to_string(),
+        path: path.to_string(),
+        cause: format!("found {found}, allowed is {allowed}"),
+    }
+}
