--- a/crates/dash/src/address.rs
+++ b/crates/dash/src/address.rs
@@ -11,10 +11,20 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Address<'a> {
-    Manifest { product: &'a str, title: &'a str, entry: Option<&'a str> },
+    Manifest {
+        product: &'a str,
+        title: &'a str,
+        entry: Option<&'a str>,
+    },
     /// Number 0 is the initialisation segment.
-    Segment { pass: &'a str, rung: usize, number: u64 },
-    Session { pass: &'a str },
+    Segment {
+        pass: &'a str,
+        rung: usize,
+        number: u64,
+    },
+    Session {
+        pass: &'a str,
+    },
 }
 
 /// Where a play's segments are; goes into the manifest.
--- a/crates/dash/src/token.rs
+++ b/crates/dash/src/token.rs
@@ -138,11 +138,12 @@
         signature.validate_exp = false;
         signature.required_spec_claims.clear();
         let token = jsonwebtoken::decode::<T>(token, &key.read, &signature);
-        Ok(token.map_err(|e| match e.kind() {
-            jsonwebtoken::errors::ErrorKind::InvalidSignature => Fault::Forged,
-            _ => Fault::Malformed,
-        })?
-        .claims)
+        Ok(token
+            .map_err(|e| match e.kind() {
+                jsonwebtoken::errors::ErrorKind::InvalidSignature => Fault::Forged,
+                _ => Fault::Malformed,
+            })?
+            .claims)
     }
 
     /// Reads an entry token at `now`, s since 1970, for the product and title that are asked for.
--- /dev/null
+++ b/crates/edge/src/lines.rs
@@ -0,0 +1,214 @@
+//! The connections of a front, each a non-blocking socket with its buffers, on the event loop. A line's role
+//! tells what it is for; what happens on it is up to [`crate::edge`].
+
+use crate::edge::Edge;
+use crate::http::Chunks;
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use slab::Slab;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+
+/// A line by its place and, in the upper half, its generation: the key of a closed one is never used again.
+pub type Key = u64;
+
+const READ: usize = 16 << 10;
+
+pub enum Role {
+    /// A player's connection.
+    Player(Doing),
+    /// An allocation: its set-up and, once that is answered, the notes on the play. Its own connection, so
+    /// that one refused and one broken under the set-up are told apart.
+    Allocation { play: u64, server: u32, stage: Stage },
+    /// A pooled connection to a server, on an errand or idle.
+    Errands { server: u32, errand: Option<Errand>, fresh: bool },
+}
+
+/// What a player's connection does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Doing {
+    /// Reads the next request.
+    Reading,
+    /// Waits for the answer to the manifest of this play.
+    Waiting(u64),
+    /// Gets a segment of this play.
+    Fetching(u64),
+    /// Closes once all is written.
+    Leaving,
+}
+
+pub enum Stage {
+    Asked,
+    Noting { chunks: Chunks, text: Vec<u8> },
+}
+
+/// A request to a server on a pooled connection.
+pub struct Errand {
+    pub what: What,
+    /// The request, sent again if a connection that was idle turns out to be closed.
+    pub request: Vec<u8>,
+    /// Bytes of the answer's body still to come, once its head was read.
+    pub left: Option<u64>,
+    /// The line is to be closed after the answer.
+    pub last: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum What {
+    Segment {
+        player: Key,
+        play: u64,
+        number: u64,
+    },
+    Probe,
+    /// A step of rung or the end of a play: nothing hangs on the answer.
+    Word,
+}
+
+pub struct Line {
+    stream: Rc<TcpStream>,
+    source: RegistrationToken,
+    pub role: Role,
+    pub keep_alive: bool,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    sent: usize,
+    /// When its clock runs out; infinite for no clock.
+    pub due: f64,
+    /// The peer has closed its side, or the connection is broken.
+    pub ended: bool,
+    shut: bool,
+    connected: bool,
+}
+
+impl Line {
+    /// Reads what is there until `input` holds `most` bytes; true if anything came.
+    pub fn read(&mut self, most: usize) -> bool {
+        let before = self.input.len();
+        let mut part = [0; READ];
+        while !self.ended && self.input.len() < most {
+            let room = (most - self.input.len()).min(READ);
+            match (&*self.stream).read(&mut part[..room]) {
+                Ok(0) => self.ended = true,
+                Ok(n) => self.input.extend_from_slice(&part[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.ended = true,
+            }
+        }
+        self.input.len() > before
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait to be written.
+    pub fn pending(&self) -> usize {
+        self.output.len() - self.sent
+    }
+
+    /// Writes what the socket takes; true if anything went.
+    pub fn flush(&mut self) -> bool {
+        let mut went = false;
+        while self.sent < self.output.len() {
+            match (&*self.stream).write(&self.output[self.sent..]) {
+                Ok(0) => break,
+                Ok(n) => (self.sent, went) = (self.sent + n, true),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // Not connected yet, or full.
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    break;
+                }
+                Err(_) => {
+                    self.ended = true;
+                    break;
+                }
+            }
+        }
+        if self.sent == self.output.len() {
+            self.output.clear();
+            self.sent = 0;
+        } else if self.sent > 1 << 20 {
+            self.output.drain(..self.sent);
+            self.sent = 0;
+        }
+        went
+    }
+
+    /// Says that nothing more comes from here; the peer's end is waited for, so that it reads the answer.
+    pub fn shut(&mut self) {
+        if !self.shut {
+            self.shut = true;
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    /// Whether the connection could be made; none while it is under way.
+    pub fn connected(&mut self) -> Option<bool> {
+        if !self.connected {
+            match self.stream.take_error() {
+                Ok(None) => self.connected = self.stream.peer_addr().is_ok(),
+                _ => return Some(false),
+            }
+        }
+        self.connected.then_some(true)
+    }
+}
+
+pub struct Lines {
+    lines: Slab<(u32, Line)>,
+    generation: u32,
+    handle: LoopHandle<'static, Edge>,
+}
+
+impl Lines {
+    pub fn new(handle: LoopHandle<'static, Edge>) -> Lines {
+        Lines { lines: Slab::new(), generation: 0, handle }
+    }
+
+    pub fn open(&mut self, stream: TcpStream, role: Role) -> io::Result<Key> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        self.generation = self.generation.wrapping_add(1);
+        let entry = self.lines.vacant_entry();
+        let key = entry.key() as u64 | u64::from(self.generation) << 32;
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let source = self
+            .handle
+            .insert_source(source, move |_, _, edge| {
+                edge.line_ready(key);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.error))?;
+        let line = Line {
+            stream,
+            source,
+            role,
+            keep_alive: true,
+            input: Vec::new(),
+            output: Vec::new(),
+            sent: 0,
+            due: f64::INFINITY,
+            ended: false,
+            shut: false,
+            connected: false,
+        };
+        entry.insert((self.generation, line));
+        Ok(key)
+    }
+
+    pub fn get(&mut self, key: Key) -> Option<&mut Line> {
+        let (generation, line) = self.lines.get_mut(key as u32 as usize)?;
+        (*generation == (key >> 32) as u32).then_some(line)
+    }
+
+    pub fn close(&mut self, key: Key) -> Option<Role> {
+        self.get(key)?;
+        let (_, line) = self.lines.remove(key as u32 as usize);
+        self.handle.remove(line.source);
+        Some(line.role)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/main.rs
@@ -0,0 +1,84 @@
+//! `pulleystair-edge`: runs a front, or checks and shows the rundown it would run by.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use pulleystair_edge::rundown::Rundown;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+#[derive(Parser)]
+#[command(
+    name = "pulleystair-edge",
+    version,
+    about = "Answers players and sets their plays up at media servers"
+)]
+struct Command {
+    /// How the log is written, to standard error
+    #[arg(long, value_enum, default_value = "text", global = true)]
+    log: Log,
+    /// What is logged: a level, or targets with levels such as `play=info,server=debug`
+    #[arg(long, default_value = "info", global = true)]
+    level: String,
+    #[command(subcommand)]
+    job: Job,
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Log {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Job {
+    /// Run a front by this rundown until SIGTERM
+    Run { rundown: PathBuf },
+    /// Check a rundown and its list of servers, and say what is wrong
+    Check { rundown: PathBuf },
+    /// Show a rundown with its defaults filled in, as JSON
+    Show { rundown: PathBuf },
+}
+
+fn logs(command: &Command) -> anyhow::Result<()> {
+    let filter = EnvFilter::try_new(&command.level)?;
+    let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match command.log {
+        Log::Text => to.with_ansi(false).init(),
+        Log::Json => to.json().flatten_event(true).init(),
+    }
+    Ok(())
+}
+
+fn run(command: Command) -> anyhow::Result<()> {
+    logs(&command)?;
+    match command.job {
+        Job::Run { rundown } => pulleystair_edge::edge::run(Rundown::read(&rundown)?),
+        Job::Check { rundown } => {
+            let it = Rundown::read(&rundown)?;
+            let list = pulleystair_edge::edge::read_list(&it)?;
+            println!(
+                "{}: good; {} products, {} rungs, {} servers, {} titles",
+                rundown.display(),
+                it.products.len(),
+                it.ladder.len(),
+                list.servers.len(),
+                list.titles.len()
+            );
+            Ok(())
+        }
+        Job::Show { rundown } => {
+            println!("{}", serde_json::to_string_pretty(&Rundown::read(&rundown)?)?);
+            Ok(())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Command::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pulleystair-edge: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day.rs
@@ -0,0 +1,88 @@
+//! Plays one scripted day: starts servers and fronts, lets players come and troubles loose, stops all, and has
+//! the rules checked.
+
+use crate::fronts::{Fronts, portal};
+use crate::players::{Room, Watched, arrivals, let_come};
+use crate::script::Day;
+use crate::stage::{Stage, titles};
+use anyhow::{Context, Result};
+use pulleystair_boxes::log::Log;
+use pulleystair_boxes::server::{self, Boxes};
+use pulleystair_witness::Seen;
+use pulleystair_witness::rules::{Breach, Covered, check};
+use std::collections::HashMap;
+use std::path::Path;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long fronts may take to stop after the last player has left.
+const STOP: Duration = Duration::from_secs(40);
+
+pub struct Outcome {
+    pub watched: Vec<Watched>,
+    pub seen: Vec<Seen>,
+    pub breaches: Vec<Breach>,
+    pub covered: Covered,
+    /// How late the latest player set out, ms: a day on which this is large says little.
+    pub lateness_ms: f64,
+    /// CPU of each front at the end of the day, ms, and memory, kB; none for one that was restarted last.
+    pub used: Vec<Option<(f64, u64)>>,
+}
+
+/// Plays the day with fronts run from `program`, in a folder for what they are given and what they say.
+pub async fn play(day: Day, program: &Path, folder: &Path) -> Result<Outcome> {
+    std::fs::create_dir_all(folder).with_context(|| format!("{} can't be made", folder.display()))?;
+    let log = Log::default();
+    let titles = Arc::new(titles(&day));
+    let known: HashMap<String, server::Title> = titles
+        .iter()
+        .map(|t| {
+            let product = &day.products[t.product];
+            let title = server::Title { live: product.live, segment_ms: t.segment_ms, scale: product.scale };
+            (t.name.clone(), title)
+        })
+        .collect();
+    let products = day.products.iter().map(|p| p.name.clone()).collect();
+    let boxes = Boxes::start(day.ground(), day.builds(), known, products, day.seed, log.clone()).await?;
+    let fronts = Fronts::new(&day, program, folder, log.clone())?;
+    let day = Arc::new(day);
+    let stage = Stage::new(
+        day.clone(),
+        titles.clone(),
+        boxes,
+        fronts.clone(),
+        log.clone(),
+        folder.join("list.json"),
+    )?;
+    for front in 0..day.fronts {
+        fronts.start(front).await?;
+    }
+    let room = Arc::new(Room {
+        day: day.clone(),
+        titles: titles.clone(),
+        fronts: fronts.clone(),
+        portal: portal(),
+        log: log.clone(),
+        requests: AtomicU64::new(1),
+        watched: Mutex::default(),
+    });
+    let start = Instant::now();
+    let mut troubles = Vec::new();
+    for (i, trouble) in day.troubles.iter().enumerate() {
+        let (stage, trouble) = (stage.clone(), trouble.clone());
+        let seed = day.seed.wrapping_mul(31).wrapping_add(i as u64);
+        troubles.push(tokio::spawn(async move { stage.trouble(trouble, seed).await }));
+    }
+    let lateness_ms = let_come(room.clone(), arrivals(&day, &titles), start).await?;
+    for trouble in troubles {
+        trouble.await?;
+    }
+    let used = (0..day.fronts).map(|front| fronts.used(front)).collect();
+    fronts.stop(STOP).await?;
+    let seen = log.taken();
+    let (breaches, covered) = check(&seen, &day.terms());
+    let watched = std::mem::take(&mut *room.watched.lock().expect("no player dies while it reports"));
+    Ok(Outcome { watched, seen, breaches, covered, lateness_ms, used })
+}
--- /dev/null
+++ b/crates/lab/src/fronts.rs
@@ -0,0 +1,227 @@
+//! Real fronts as processes: writes what they are given at start, starts, kills and stops them.
+
+use crate::script::Day;
+use anyhow::{Context, Result, bail};
+use pulleystair_boxes::log::Log;
+use pulleystair_dash::token::Ring;
+use pulleystair_witness::What;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::oneshot;
+
+/// How long a front may take until it listens.
+const START: Duration = Duration::from_secs(20);
+
+struct Front {
+    child: Option<Child>,
+    address: Option<SocketAddr>,
+}
+
+#[derive(Clone)]
+pub struct Fronts {
+    program: PathBuf,
+    folder: PathBuf,
+    zones: usize,
+    all: Arc<Mutex<Vec<Front>>>,
+    log: Log,
+}
+
+/// The portal's key, with which entry tokens are signed.
+pub fn portal() -> Ring {
+    Ring::new(&[("portal-1".to_string(), entry_secret())]).expect("one long key is a ring")
+}
+
+fn entry_secret() -> Vec<u8> {
+    b"entry tokens of this laboratory, not a secret".to_vec()
+}
+
+/// The rundown of one front of a day.
+pub fn rundown(day: &Day, front: usize) -> serde_json::Value {
+    let fleet = &day.fleet;
+    let links: f64 = fleet.link_kb * fleet.servers as f64;
+    let products: Vec<serde_json::Value> = day
+        .products
+        .iter()
+        .map(|p| {
+            let mut it = serde_json::to_value(p).unwrap_or_default();
+            if let Some(it) = it.as_object_mut() {
+                ["part", "titles", "holders", "seconds"].iter().for_each(|name| {
+                    it.remove(*name);
+                });
+            }
+            it
+        })
+        .collect();
+    json!({
+        "listen": "127.0.0.1:0",
+        "zone": day.zones[front % day.zones.len()],
+        "zones": day.zones,
+        "fronts": day.fronts,
+        "rank": front,
+        "seed": day.seed.wrapping_add(front as u64),
+        "list": "list.json",
+        "products": products,
+        "ladder": day.ladder,
+        "fleet": {
+            "cells": fleet.servers,
+            "racks": fleet.racks,
+            "kinds": [{ "name": "standard", "streams": fleet.streams }],
+            "rack_link_kb": fleet.rack_link_kb,
+            "link_unit_kb": fleet.link_kb,
+            "links_kb": links,
+            "shared_part": fleet.shared_part,
+            "notes_late_ms": fleet.notes_late_ms,
+            "stall_cost": 7.0,
+            "change_costs_s": 0.5,
+        },
+        "rules": {
+            "drain_grace_ms": day.rules.drain_grace_ms,
+            "cold_ms": day.rules.cold_ms,
+            "cold_from": day.rules.cold_from,
+            "overload_factor": day.rules.overload_factor,
+            "allocations": day.rules.allocations,
+            "budget": day.rules.budget,
+            "retry_after_ms": day.rules.retry_after_ms,
+            "probes": day.rules.probes,
+        },
+        "prices": { "probe": 0.01, "cross_zone": 0.02 },
+        "limits": day.limits,
+        "entry_keys": [{ "kid": "portal-1", "file": "entry.key" }],
+        "pass_keys": [{ "kid": "pass-1", "file": "pass.key" }],
+    })
+}
+
+impl Fronts {
+    /// Writes keys and rundowns into the folder; the list must be there before a front starts.
+    pub fn new(day: &Day, program: &Path, folder: &Path, log: Log) -> Result<Fronts> {
+        std::fs::write(folder.join("entry.key"), entry_secret())?;
+        std::fs::write(folder.join("pass.key"), b"session tokens of this laboratory, not a secret")?;
+        for front in 0..day.fronts {
+            let text = serde_json::to_string_pretty(&rundown(day, front))?;
+            std::fs::write(folder.join(format!("front-{front}.json")), text)?;
+        }
+        let all = (0..day.fronts).map(|_| Front { child: None, address: None }).collect();
+        Ok(Fronts {
+            program: program.into(),
+            folder: folder.into(),
+            zones: day.zones.len(),
+            all: Arc::new(Mutex::new(all)),
+            log,
+        })
+    }
+
+    pub fn count(&self) -> usize {
+        self.all.lock().expect("nobody dies while holding the fronts").len()
+    }
+
+    /// Starts a front and waits until it listens.
+    pub async fn start(&self, front: usize) -> Result<SocketAddr> {
+        let mut child = Command::new(&self.program)
+            .args(["--log", "json", "run"])
+            .arg(self.folder.join(format!("front-{front}.json")))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{} can't be started", self.program.display()))?;
+        let words = child.stderr.take().context("a front's words are piped")?;
+        let (tell, told) = oneshot::channel();
+        let file = self.folder.join(format!("front-{front}.log"));
+        tokio::spawn(keep_words(words, file, tell));
+        let address = match tokio::time::timeout(START, told).await {
+            Ok(Ok(address)) => address,
+            _ => bail!("front {front} does not listen; see front-{front}.log in {}", self.folder.display()),
+        };
+        let mut all = self.all.lock().expect("nobody dies while holding the fronts");
+        all[front] = Front { child: Some(child), address: Some(address) };
+        self.log.saw(What::Front { front, up: true });
+        Ok(address)
+    }
+
+    /// Kills a front outright.
+    pub async fn kill(&self, front: usize) {
+        let child = {
+            let mut all = self.all.lock().expect("nobody dies while holding the fronts");
+            all[front].address = None;
+            all[front].child.take()
+        };
+        self.log.saw(What::Front { front, up: false });
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Asks all to stop, and waits until they have.
+    pub async fn stop(&self, within: Duration) -> Result<()> {
+        for front in 0..self.count() {
+            let child = {
+                let mut all = self.all.lock().expect("nobody dies while holding the fronts");
+                all[front].address = None;
+                all[front].child.take()
+            };
+            let Some(mut child) = child else { continue };
+            if let Some(id) = child.id() {
+                Command::new("kill").args(["-TERM", &id.to_string()]).status().await?;
+            }
+            match tokio::time::timeout(within, child.wait()).await {
+                Ok(status) if status.as_ref().is_ok_and(|s| s.success()) => {}
+                Ok(status) => bail!("front {front} ended with {status:?}"),
+                Err(_) => bail!("front {front} did not stop within {within:?}"),
+            }
+        }
+        Ok(())
+    }
+
+    /// CPU time that a front has used so far, ms, and its resident memory, kB; from the process table.
+    pub fn used(&self, front: usize) -> Option<(f64, u64)> {
+        let id =
+            self.all.lock().expect("nobody dies while holding the fronts")[front].child.as_ref()?.id()?;
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let mut fields = stat.rsplit_once(") ")?.1.split(' ').skip(11);
+        let ticks: f64 = fields.next()?.parse::<f64>().ok()? + fields.next()?.parse::<f64>().ok()?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let memory = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?.trim().split(' ').next()?;
+        // The kernel counts in hundredths of a second.
+        Some((ticks * 10.0, memory.parse().ok()?))
+    }
+
+    /// Where a viewer of this zone may ask: a front of the zone that runs, or any if none does. `draw` picks.
+    pub fn pick(&self, zone: usize, draw: u64) -> Option<(usize, SocketAddr)> {
+        let all = self.all.lock().expect("nobody dies while holding the fronts");
+        let up: Vec<(usize, SocketAddr)> =
+            all.iter().enumerate().filter_map(|(i, f)| Some((i, f.address?))).collect();
+        let own: Vec<(usize, SocketAddr)> =
+            up.iter().filter(|(i, _)| i % self.zones == zone).copied().collect();
+        let from = if own.is_empty() { &up } else { &own };
+        (!from.is_empty()).then(|| from[(draw % from.len() as u64) as usize])
+    }
+}
+
+/// Keeps a front's words in a file, and tells where it listens.
+async fn keep_words(words: tokio::process::ChildStderr, file: PathBuf, tell: oneshot::Sender<SocketAddr>) {
+    let mut tell = Some(tell);
+    let mut lines = BufReader::new(words).lines();
+    let file = tokio::fs::OpenOptions::new().create(true).append(true).open(file).await;
+    let mut file = file.ok();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if tell.is_some() {
+            let words: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+            if words["message"] == "listens"
+                && let Some(address) = words["address"].as_str().and_then(|a| a.parse().ok())
+                && let Some(tell) = tell.take()
+            {
+                let _ = tell.send(address);
+            }
+        }
+        if let Some(file) = &mut file {
+            let _ = file.write_all(format!("{line}\n").as_bytes()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! Scripted days on loopback: [`script`] is what a day is made of, [`fronts`] starts the real fronts as
+//! processes, [`stage`] holds the list of servers and lets troubles loose, [`players`] come open-loop, and
+//! [`report`] sums up what was seen. The verdict is the checker's, on the sockets' logs.
+
+pub mod day;
+pub mod fronts;
+pub mod players;
+pub mod report;
+pub mod script;
+pub mod stage;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,71 @@
+//! `pulleystair-lab`: plays scripted days against real fronts and stand-in servers, and checks the rules.
+
+use anyhow::{Context, Result};
+use clap::{Parser, Subcommand};
+use pulleystair_lab::{day, report, script::Day};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "pulleystair-lab", version, about = "Scripted days on loopback, with the rules checked")]
+struct Command {
+    #[command(subcommand)]
+    job: Job,
+}
+
+#[derive(Subcommand)]
+enum Job {
+    /// Play a day; the exit status is 0 where all rules were kept, 1 where one was broken
+    Day {
+        script: PathBuf,
+        /// Another seed than the script's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Where reports and logs go
+        #[arg(long, default_value = "found/day")]
+        out: PathBuf,
+        /// The front to run; the one beside this program where left out
+        #[arg(long)]
+        edge: Option<PathBuf>,
+    },
+}
+
+/// The front that was built with this program.
+fn beside() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let edge = own.with_file_name("pulleystair-edge");
+    edge.exists()
+        .then_some(edge)
+        .context("there is no pulleystair-edge beside this program: build the workspace")
+}
+
+fn run(command: Command) -> Result<bool> {
+    match command.job {
+        Job::Day { script, seed, out, edge } => {
+            let mut day = Day::read(&script)?;
+            day.seed = seed.unwrap_or(day.seed);
+            let edge = edge.map_or_else(beside, Ok)?;
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+            let outcome = runtime.block_on(day::play(day.clone(), &edge, &out))?;
+            let it = report::report(&day, &outcome)?;
+            print!("{}", it.text());
+            std::fs::write(out.join("report.json"), serde_json::to_string_pretty(&it)?)?;
+            report::plot(&day, &outcome, &out.join("plays.svg"))?;
+            let lines: Result<Vec<String>, _> = outcome.seen.iter().map(serde_json::to_string).collect();
+            std::fs::write(out.join("seen.jsonl"), lines?.join("\n") + "\n")?;
+            println!("report.json, plays.svg, seen.jsonl and the fronts' logs are in {}", out.display());
+            Ok(outcome.breaches.is_empty())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Command::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("pulleystair-lab: {e:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/templates/src/lib.rs
+++ b/crates/templates/src/lib.rs
@@ -3,7 +3,9 @@
 //! was found.
 
 use jrsonnet_evaluator::error::Error as JsonnetError;
-use jrsonnet_evaluator::{EvaluationState, FileImportResolver, IStr, ImportResolver, error::Result as Evaluated};
+use jrsonnet_evaluator::{
+    EvaluationState, FileImportResolver, IStr, ImportResolver, error::Result as Evaluated,
+};
 use serde::de::DeserializeOwned;
 use std::any::Any;
 use std::path::{Path, PathBuf};
@@ -37,7 +39,8 @@
             return Ok(resolved);
         }
         let (path, root) = (path.display(), self.root.display());
-        Err(JsonnetError::RuntimeError(format!("import of {path}: lies outside the folder {root}").into()).into())
+        Err(JsonnetError::RuntimeError(format!("import of {path}: lies outside the folder {root}").into())
+            .into())
     }
 
     fn load_file_contents(&self, resolved: &Path) -> Evaluated<IStr> {
@@ -63,10 +66,7 @@
     let state = EvaluationState::default();
     state.with_stdlib();
     state.set_max_stack(DEPTH);
-    state.set_import_resolver(Box::new(WithinFolder {
-        root,
-        files: FileImportResolver::default(),
-    }));
+    state.set_import_resolver(Box::new(WithinFolder { root, files: FileImportResolver::default() }));
     let jsonnet = |e| Fault::Jsonnet { file: name.clone(), cause: state.stringify_err(&e) };
     let value = state.evaluate_file_raw(&real).map_err(jsonnet)?;
     let json = state.manifest(value).map_err(jsonnet)?;
--- /dev/null
+++ b/crates/witness/tests/doctored.rs
@@ -0,0 +1,204 @@
+//! For each rule, a clean log on which it passes and doctored ones on which it fails: a check counts only
+//! once it was seen to fail.
+
+use pulleystair_witness::rules::{Budget, Effect, Group, Product, Terms, check};
+use pulleystair_witness::{Content, Seen, What};
+use test_case::test_case;
+
+fn terms(effect: Effect) -> Terms {
+    Terms {
+        products: vec![Product { limit: 1000.0, effect, floor: 1, top: 2, seats: 2 }],
+        drain_grace: 500.0,
+        cold: 5000.0,
+        cold_from: 0.2,
+        overload: 2.0,
+        fall: 1000.0,
+        streams: vec![10.0; 3],
+        zones: vec![0, 1, 0],
+        cells: vec![0, 1, 2],
+        budget: Some(Budget { span: 2000.0, share: 0.5, free: 1.0 }),
+        told: 50.0,
+        slack: 20.0,
+    }
+}
+
+#[derive(Default)]
+struct Log(Vec<Seen>);
+
+impl Log {
+    fn at(&mut self, at: f64, what: What) -> &mut Log {
+        self.0.push(Seen { at, what });
+        self
+    }
+
+    fn asks(&mut self, at: f64, request: u64, session: &str) -> &mut Log {
+        let (session, title) = (session.to_string(), "t".to_string());
+        self.at(at, What::Asked { request, session, front: 0, product: 0, title, top: 9 })
+    }
+
+    fn answered(&mut self, at: f64, request: u64, status: u16) -> &mut Log {
+        self.at(at, What::Answered { request, status })
+    }
+
+    fn set_up(&mut self, at: f64, server: usize, allocation: &str, session: &str) -> &mut Log {
+        self.set_up_on(at, server, allocation, session, 1)
+    }
+
+    fn set_up_on(
+        &mut self,
+        at: f64,
+        server: usize,
+        allocation: &str,
+        session: &str,
+        rung: usize,
+    ) -> &mut Log {
+        let (allocation, session, title) = (allocation.to_string(), session.to_string(), "t".to_string());
+        self.at(at, What::SetUp { server, allocation, session, product: 0, title, rung })
+    }
+
+    fn done(&mut self, at: f64, allocation: &str, status: u16) -> &mut Log {
+        let allocation = allocation.to_string();
+        self.at(at, What::Done { allocation, ran: status != 429, status })
+    }
+
+    fn closed(&mut self, at: f64, allocation: &str) -> &mut Log {
+        self.at(at, What::Closed { allocation: allocation.to_string() })
+    }
+
+    fn broken(&mut self, terms: &Terms) -> Vec<u8> {
+        self.at(60_000.0, What::Front { front: 0, up: true });
+        check(&self.0, terms).0.iter().map(|b| b.rule).collect()
+    }
+}
+
+/// A play that errs once and then plays.
+fn good() -> Log {
+    let mut log = Log::default();
+    log.asks(0.0, 1, "s").set_up(1.0, 0, "f-1-1", "s").done(50.0, "f-1-1", 429).closed(51.0, "f-1-1");
+    log.set_up(52.0, 2, "f-1-2", "s").done(100.0, "f-1-2", 200).answered(101.0, 1, 200);
+    log
+}
+
+#[test_case(Effect::Free; "free")]
+#[test_case(Effect::Paid; "paid, refused without inspection")]
+fn a_good_log_is_clean(effect: Effect) {
+    assert!(good().closed(3000.0, "f-1-2").broken(&terms(effect)).is_empty());
+    let (_, covered) = check(&good().0, &terms(effect));
+    assert_eq!((covered.requests, covered.set_ups, covered.further), (1, 2, 1));
+}
+
+#[test]
+fn rule_1_fails_on_no_answer_a_late_one_two_and_an_untrue_one() {
+    let terms = terms(Effect::Free);
+    assert_eq!(Log::default().asks(0.0, 1, "s").broken(&terms), [1]);
+    assert_eq!(Log::default().asks(0.0, 1, "s").answered(1021.0, 1, 503).broken(&terms), [1]);
+    assert_eq!(
+        Log::default().asks(0.0, 1, "s").answered(5.0, 1, 503).answered(9.0, 1, 503).broken(&terms),
+        [1]
+    );
+    assert_eq!(Log::default().asks(0.0, 1, "s").answered(5.0, 1, 200).broken(&terms), [1]);
+    assert_eq!(Log::default().asks(0.0, 1, "s").at(5.0, What::Cut { request: 1 }).broken(&terms), [1]);
+    assert!(Log::default().asks(0.0, 1, "s").at(5.0, What::Left { request: 1 }).broken(&terms).is_empty());
+    let mut died = Log::default();
+    died.asks(0.0, 1, "s").at(500.0, What::Front { front: 0, up: false });
+    assert!(died.broken(&terms).is_empty(), "what a dead front held is not owed");
+}
+
+#[test]
+fn rule_2_fails_on_two_out_at_once() {
+    let mut log = Log::default();
+    log.asks(0.0, 1, "s").set_up(1.0, 0, "f-1-1", "s").set_up(300.0, 2, "f-1-2", "s");
+    log.closed(350.0, "f-1-1").done(360.0, "f-1-2", 200).answered(361.0, 1, 200);
+    assert_eq!(log.broken(&terms(Effect::Free)), [2]);
+}
+
+#[test]
+fn rule_2_fails_on_a_paid_set_up_sent_again_or_declined_after_it_may_have_run() {
+    let mut again = Log::default();
+    again.asks(0.0, 1, "s").set_up(1.0, 0, "f-1-1", "s").done(50.0, "f-1-1", 502).closed(51.0, "f-1-1");
+    again.set_up(52.0, 2, "f-1-2", "s").done(100.0, "f-1-2", 200).answered(101.0, 1, 200);
+    assert_eq!(again.broken(&terms(Effect::Paid)), [2]);
+    let zone = Effect::Keyed { group: Group::Zone, window: 1000.0 };
+    assert!(again.broken(&terms(zone)).is_empty(), "servers 0 and 2 are of one zone");
+    let cell = Effect::Keyed { group: Group::Cell, window: 1000.0 };
+    assert_eq!(again.broken(&terms(cell)), [2]);
+    let late = Effect::Keyed { group: Group::All, window: 10.0 };
+    assert_eq!(again.broken(&terms(late)), [2]);
+    let mut declined = Log::default();
+    declined.asks(0.0, 1, "s").set_up(1.0, 0, "f-1-1", "s").closed(500.0, "f-1-1").answered(501.0, 1, 503);
+    assert_eq!(declined.broken(&terms(Effect::Paid)), [2]);
+    assert!(declined.broken(&terms(Effect::Free)).is_empty());
+}
+
+#[test_case(490.0, &[]; "within the grace")]
+#[test_case(530.0, &[3]; "after it")]
+fn rule_3_fails_after_the_grace(after: f64, broken: &[u8]) {
+    let mut log = Log::default();
+    log.at(10.0, What::Listed { server: 0, ready: false }).set_up(10.0 + after, 0, "f-1-1", "s");
+    log.closed(10.0 + after, "f-1-1");
+    assert_eq!(log.broken(&terms(Effect::Free)), broken);
+}
+
+#[test_case(1, &[]; "its pace")]
+#[test_case(9, &[4]; "a burst")]
+fn rule_4_fails_when_all_fronts_together_rush_a_cold_server(each: usize, broken: &[u8]) {
+    let mut log = Log::default();
+    log.at(0.0, What::Started { server: 0, cold: true }).at(10.0, What::Listed { server: 0, ready: true });
+    for front in 0..2 {
+        for i in 0..each {
+            let (name, session) = (format!("f{front}-{i}-1"), format!("s{front}{i}"));
+            log.set_up(1000.0 + 300.0 * i as f64, 0, &name, &session)
+                .closed(1100.0 + 300.0 * i as f64, &name);
+        }
+    }
+    assert_eq!(log.broken(&terms(Effect::Free)), broken);
+    log.0.retain(|s| !matches!(s.what, What::Listed { .. }));
+    assert!(log.broken(&terms(Effect::Free)).is_empty(), "nobody had been told, or had seen it fail");
+}
+
+#[test_case(0, &[5]; "under the floor")]
+#[test_case(1, &[]; "on the floor")]
+#[test_case(3, &[5]; "over the top")]
+fn rule_5_fails_off_the_rungs(rung: usize, broken: &[u8]) {
+    let mut log = Log::default();
+    log.set_up_on(0.0, 0, "f-1-1", "s", rung).closed(100.0, "f-1-1");
+    assert_eq!(log.broken(&terms(Effect::Free)), broken);
+    let mut later = Log::default();
+    later.set_up(0.0, 0, "f-1-1", "s").at(5.0, What::Rung { allocation: "f-1-1".into(), rung });
+    assert_eq!(later.closed(100.0, "f-1-1").broken(&terms(Effect::Free)), broken);
+}
+
+#[test]
+fn rule_5_fails_on_more_plays_than_seats() {
+    let mut log = Log::default();
+    for i in 0..3 {
+        log.set_up(10.0 * f64::from(i), 0, &format!("f-{i}-1"), &format!("s{i}"));
+    }
+    assert_eq!(log.broken(&terms(Effect::Free)), [5]);
+}
+
+#[test_case(1, &[]; "one further")]
+#[test_case(4, &[6]; "four further")]
+fn rule_6_fails_over_the_budget(further: u64, broken: &[u8]) {
+    let mut log = Log::default();
+    for i in 0..further {
+        let (session, at) = (format!("s{i}"), 100.0 * i as f64);
+        let (first, second) = (format!("f-{i}-1"), format!("f-{i}-2"));
+        log.asks(at, i, &session).set_up(at, 0, &first, &session).done(at + 1.0, &first, 502);
+        log.closed(at + 1.0, &first).set_up(at + 30.0, 2, &second, &session).done(at + 40.0, &second, 502);
+        log.closed(at + 40.0, &second).answered(at + 41.0, i, 502);
+    }
+    assert_eq!(log.broken(&terms(Effect::Free)), broken);
+}
+
+#[test_case("t", 4, 1, true, &[]; "as asked")]
+#[test_case("t", 4, 0, true, &[]; "a lower rung")]
+#[test_case("t", 5, 1, true, &[0]; "another number")]
+#[test_case("u", 4, 1, true, &[0]; "another title")]
+#[test_case("t", 4, 2, true, &[0]; "a higher rung")]
+#[test_case("t", 4, 1, false, &[0]; "damaged")]
+fn a_wrong_segment_is_seen(title: &str, number: u64, rung: usize, intact: bool, broken: &[u8]) {
+    let got = Some(Content { title: title.into(), number, rung, intact });
+    let what = What::Fetched { session: "s".into(), title: "t".into(), number: 4, rung: 1, got };
+    assert_eq!(Log::default().at(0.0, what).broken(&terms(Effect::Free)), broken);
+}
