--- /dev/null
+++ b/crates/edge/tests/failures.rs
@@ -0,0 +1,423 @@
+//! What can go wrong between players, a front and its servers, each story on real sockets: the front is the
+//! program itself, the servers are stand-ins, and the rules are checked on what both sides saw.
+
+mod house;
+
+use house::{House, base, day, get, text};
+use pulleystair_boxes::content;
+use pulleystair_boxes::wire::Peer;
+use pulleystair_dash::token::{Entry, Ring};
+use pulleystair_lab::fronts::portal;
+use pulleystair_lab::stage::Listed;
+use pulleystair_witness::{Seen, What};
+use serde_json::json;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpSocket, TcpStream};
+
+const FREE: usize = 0;
+const PAID: usize = 1;
+
+fn closed(seen: &[Seen]) -> usize {
+    seen.iter().filter(|s| matches!(s.what, What::Closed { .. })).count()
+}
+
+/// A day on which a set-up is waited for as long as the viewer waits.
+fn patient() -> serde_json::Value {
+    let mut day = day();
+    day["rules"]["allocations"] = json!(1);
+    day["products"][FREE]["time_limit_ms"] = json!(20_000);
+    day
+}
+
+fn asked_for(seen: &[Seen]) -> usize {
+    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
+}
+
+#[tokio::test]
+async fn a_play_from_manifest_to_last_segment() {
+    let house = House::open().await;
+    let manifest = house.ask("s", FREE).await;
+    assert_eq!(manifest.status, 200, "{}", text(&manifest));
+    let base = base(&manifest);
+    for number in 0..=4u64 {
+        let file = if number == 0 { "init.mp4".to_string() } else { format!("{number}.m4s") };
+        let segment = house.get(&format!("{base}1/{file}")).await;
+        assert_eq!(segment.status, 200);
+        let got = content::read(&segment.body).expect("it says what it is");
+        assert!(got.intact && got.number == number && got.title == house.titles[FREE].name, "{got:?}");
+        assert!(segment.header("cmsd-dynamic").is_some_and(|h| h.contains("mb=")));
+    }
+    assert_eq!(house.get(&format!("{base}1/5.m4s")).await.status, 404, "there are four");
+    // The last segment has gone out: the play ends by itself, and its server is told.
+    house.until("the server's end of the play", |seen| closed(seen) == 1).await;
+    house
+        .until_true("the play is freed", || house.boxes.world().servers.iter().all(|s| s.plays.is_empty()))
+        .await;
+    assert_eq!(house.get(&format!("{base}1/4.m4s")).await.status, 410);
+    house.kept();
+}
+
+#[tokio::test]
+async fn servers_that_take_requests_and_never_answer() {
+    let house = House::open().await;
+    house.ail(|a| a.silent = true);
+    let answer = house.ask("s", FREE).await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, Some("1")));
+    let paid = house.ask("p", PAID).await;
+    assert!([502, 504].contains(&paid.status), "it may have run: {}", paid.status);
+    house.kept();
+}
+
+#[tokio::test]
+async fn servers_whose_answers_break_off_within_the_head() {
+    let house = House::open().await;
+    house.ail(|a| a.half_heads = 1.0);
+    assert_eq!(house.ask("s", FREE).await.status, 503);
+    assert!(house.set_ups().len() > 1, "a play that may be set up again is");
+    house.kept();
+}
+
+#[test_case(FREE, 200, 2; "free: sent again elsewhere")]
+#[test_case(PAID, 502, 1; "paid: never sent again, nor called declined")]
+#[tokio::test]
+async fn a_reset_after_the_set_up_ran(product: usize, status: u16, set_ups: usize) {
+    let house = House::open().await;
+    house.ail(|a| a.reset = 1.0);
+    let asking = house.ask_at(0, "s", product).await;
+    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    // Only the first server is ill.
+    let first = house.set_ups()[0];
+    house.ail_all_but(first, |a| a.reset = 0.0);
+    assert_eq!(asking.answer().await.status, status);
+    assert!(house.set_ups().len() >= set_ups, "{:?}", house.set_ups());
+    assert!(product == FREE || house.set_ups().len() == 1);
+    house.kept();
+}
+
+#[tokio::test]
+async fn an_answer_that_comes_after_the_time_out() {
+    let house = House::open().await;
+    house.ail(|a| a.slow = 120.0);
+    let asking = house.ask_at(0, "s", FREE).await;
+    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    let first = house.set_ups()[0];
+    house.ail_all_but(first, |a| a.slow = 1.0);
+    assert_eq!(asking.answer().await.status, 200);
+    assert_eq!(house.set_ups().len(), 2);
+    // The first connection was closed before the second set-up went out, so no late answer has a way back.
+    house.until("the first one's end", |seen| closed(seen) == 1).await;
+    house.kept();
+}
+
+#[tokio::test]
+async fn two_requests_of_one_session_at_once_are_one_play() {
+    let house = House::open().await;
+    house.ail(|a| a.slow = 20.0);
+    let (one, other) = (house.ask_at(0, "s", FREE).await, house.ask_at(0, "s", FREE).await);
+    let (one, other) = tokio::join!(one.answer(), other.answer());
+    assert_eq!((one.status, other.status), (200, 200));
+    assert_eq!(one.body, other.body);
+    let again = house.ask("s", FREE).await;
+    assert_eq!((again.status, &again.body), (200, &one.body), "asked again later: the same answer");
+    assert_eq!(house.set_ups().len(), 1);
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_viewer_that_closes_while_the_set_up_is_out() {
+    let house = House::of(patient()).await;
+    house.ail(|a| a.silent = true);
+    let asking = house.ask_at(0, "s", FREE).await;
+    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    asking.leave();
+    house.until("the set-up is withdrawn", |seen| closed(seen) == 1).await;
+    assert_eq!(house.ask("s", FREE).await.status, 410, "it has left");
+    assert_eq!(house.set_ups().len(), 1);
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_viewer_whose_connection_broke_comes_back_for_its_answer() {
+    let house = House::of(patient()).await;
+    house.ail(|a| a.slow = 40.0);
+    let asking = house.ask_at(0, "s", FREE).await;
+    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    asking.leave();
+    assert_eq!(house.ask("s", FREE).await.status, 200);
+    assert_eq!(house.set_ups().len(), 1);
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_player_that_reads_one_byte_at_a_time_is_let_go_and_others_are_served() {
+    let mut day = day();
+    day["ladder"] = json!([{ "rate_kb": 4000, "earns": 0.4 }, { "rate_kb": 8000, "earns": 1 }]);
+    day["limits"] = json!({
+        "send_buffer_bytes": 8192, "relay_bytes": 65536, "slow_reader_ms": 300, "slow_reader_kb": 20000,
+    });
+    let house = House::of(day).await;
+    let manifest = house.ask("s", FREE).await;
+    let target = format!("{}0/1.m4s", base(&manifest));
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    let mut slow = Peer::new(socket.connect(house.at[0]).await.expect("a connection"));
+    slow.write(get(&target).as_bytes()).await.expect("the request is taken");
+    let mut read = 0;
+    let mut byte = [0];
+    let ended = loop {
+        let quick = house.get(&target).await;
+        assert!(content::read(&quick.body).is_some_and(|c| c.intact), "another player is served meanwhile");
+        match slow.stream.read(&mut byte).await {
+            Ok(0) | Err(_) => break true,
+            Ok(n) => read += n,
+        }
+        // What lies in buffers may still be read; the front's end of it shows as soon as it is gone.
+        let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+        if log.contains("too slow") {
+            let mut rest = Vec::new();
+            let _ = slow.stream.read_to_end(&mut rest).await;
+            read += rest.len();
+            break true;
+        }
+    };
+    assert!(ended && read < 4_000_000, "{read} bytes");
+    house.kept();
+}
+
+#[tokio::test]
+async fn every_holder_is_cold() {
+    let mut day = day();
+    day["fleet"]["streams"] = json!(24);
+    let house = House::of(day).await;
+    for server in 0..4 {
+        house.boxes.stop(server);
+        house.stage.restart(server);
+    }
+    house
+        .until_true("the front has read the list", || {
+            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            log.matches("list taken").count() >= 2
+        })
+        .await;
+    let mut asking = Vec::new();
+    for i in 0..60 {
+        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
+    }
+    let mut played = 0;
+    for one in asking {
+        played += usize::from(one.answer().await.status == 200);
+    }
+    assert!(played > 0, "they take plays at their pace");
+    assert!(house.set_ups().len() < 60, "not all at once");
+    house.kept();
+}
+
+#[tokio::test]
+async fn every_holder_drains_between_request_and_set_up() {
+    let house = House::open().await;
+    house.ail(|a| a.silent = true);
+    let asking = house.ask_at(0, "s", FREE).await;
+    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    for server in 0..4 {
+        house.stage.list(server, Listed::Draining { started: 0.0 });
+    }
+    assert_eq!(asking.answer().await.status, 503);
+    assert_eq!(house.ask("later", FREE).await.status, 503, "nobody may take it");
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_front_is_killed_with_a_play_in_hand() {
+    let mut day = day();
+    day["fronts"] = json!(2);
+    let house = House::of(day).await;
+    assert_eq!(house.ask_at(0, "s", FREE).await.answer().await.status, 200);
+    house.fronts.kill(0).await;
+    house
+        .until_true("the lease runs out", || house.boxes.world().servers.iter().all(|s| s.plays.is_empty()))
+        .await;
+    assert_eq!(
+        house.ask_at(1, "s2", FREE).await.answer().await.status,
+        200,
+        "the viewer came back elsewhere"
+    );
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_list_replaced_half_written_is_not_taken() {
+    let house = House::open().await;
+    let file = house.folder().join("list.json");
+    let whole = std::fs::read_to_string(&file).expect("the list is there");
+    let says = |what: &str| {
+        let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+        log.matches(what).count()
+    };
+    std::fs::write(&file, &whole[..whole.len() / 2]).expect("the list is written");
+    house.until_true("the front says so", || says("list not taken") >= 1).await;
+    assert_eq!(house.ask("s", FREE).await.status, 200, "the list in hand stays");
+    std::fs::write(&file, whole.replace("\"weight\":1.0", "\"weight\":-1")).expect("the list is written");
+    house.until_true("the front names the value", || says("servers[0].weight: found -1") >= 1).await;
+    house.stage.list(0, Listed::Draining { started: 0.0 });
+    house.until_true("the whole list is taken", || says("\"draining\":1") >= 1).await;
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_thousand_requests_at_once_against_a_limit_of_two_hundred() {
+    let mut day = patient();
+    day["limits"] = json!({ "deciding": 200 });
+    let house = House::of(day).await;
+    house.ail(|a| a.slow = 60.0);
+    let mut asking = Vec::new();
+    for i in 0..1000 {
+        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
+    }
+    let (mut played, mut limited) = (0, 0);
+    for one in asking {
+        let answer = one.answer().await;
+        played += usize::from(answer.status == 200);
+        let at_limit = text(&answer).contains("limit of deciding");
+        assert!(!at_limit || answer.status == 503 && answer.header("retry-after").is_some());
+        limited += usize::from(at_limit);
+    }
+    assert!(played >= 100 && limited >= 100, "{played} played, {limited} were told of the limit");
+    let (mut out, mut most) = (0i32, 0);
+    for seen in house.log.taken() {
+        match seen.what {
+            What::SetUp { .. } => out += 1,
+            What::Done { .. } => out -= 1,
+            _ => {}
+        }
+        most = most.max(out);
+    }
+    assert!(most <= 200, "{most} set-ups out at once");
+    house.kept();
+}
+
+fn entry(house: &House) -> Entry {
+    let (product, title) = (house.day.products[FREE].name.clone(), house.titles[FREE].name.clone());
+    Entry { jti: "s".into(), sub: "v".into(), product, title, top: 1, exp: u64::MAX >> 12 }
+}
+
+#[tokio::test]
+async fn tokens_that_open_nothing_cost_no_allocation() {
+    let house = House::open().await;
+    let good = portal().sign(&entry(&house));
+    let forged = Ring::new(&[("portal-1".into(), vec![9; 32])]).unwrap().sign(&entry(&house));
+    let unknown = Ring::new(&[("portal-9".into(), vec![9; 32])]).unwrap().sign(&entry(&house));
+    let expired = portal().sign(&Entry { exp: 1, ..entry(&house) });
+    let other = house.token("p", PAID);
+    let title = &house.titles[FREE].name;
+    for (token, status) in
+        [("", 401), ("a.b.c", 401), (&forged, 401), (&unknown, 401), (&expired, 410), (&other, 403)]
+    {
+        let answer = house.get(&format!("/v1/free/{title}/manifest.mpd?token={token}")).await;
+        assert_eq!(answer.status, status, "{token:.20}");
+        let segment = house.get(&format!("/s/{token}/0/1.m4s")).await;
+        assert!([401, 404].contains(&segment.status), "no pass: {}", segment.status);
+    }
+    assert_eq!(house.get(&format!("/v1/free/none/manifest.mpd?token={good}")).await.status, 403);
+    assert!(house.set_ups().is_empty());
+    let bearer = format!(
+        "GET /v1/free/{title}/manifest.mpd HTTP/1.1\r\nHost: f\r\nAuthorization: Bearer {good}\r\n\r\n"
+    );
+    assert_eq!(house.send(&bearer).await.unwrap().status, 200);
+    let theirs = portal().sign(&Entry { sub: "w".into(), ..entry(&house) });
+    let answer = house.get(&format!("/v1/free/{title}/manifest.mpd?token={theirs}")).await;
+    assert_eq!(answer.status, 403, "another viewer's session");
+    let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+    assert!(!log.is_empty() && !log.contains(&good[..20]), "no token in a log");
+}
+
+#[test_case("GET / HTTP/1.1\r\nHost: f\r\n\r\n", 404; "nothing there")]
+#[test_case("POST /v1/free/x/manifest.mpd HTTP/1.1\r\nHost: f\r\n\r\n", 405; "another method")]
+#[test_case("POST / HTTP/1.1\r\nHost: f\r\nContent-Length: 3\r\n\r\nabc", 413; "a body")]
+#[test_case("nonsense\r\n\r\n", 400; "nonsense")]
+#[tokio::test]
+async fn a_request_that_can_not_be_served_is_told_so(request: &str, status: u16) {
+    let house = House::open().await;
+    assert_eq!(house.send(request).await.unwrap().status, status);
+}
+
+#[tokio::test]
+async fn connections_and_heads_are_bounded() {
+    let mut day = day();
+    day["limits"] = json!({ "connections": 3, "header_bytes": 2048, "header_ms": 200, "idle_ms": 60000 });
+    let house = House::of(day).await;
+    let long = format!("GET /{} HTTP/1.1\r\nHost: f\r\n\r\n", "x".repeat(4000));
+    assert_eq!(house.send(&long).await.unwrap().status, 431);
+    // A head that never comes whole.
+    assert_eq!(house.send("GET / HTTP/1.1\r\nHo").await.unwrap().status, 408);
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        held.push(TcpStream::connect(house.at[0]).await.expect("a connection"));
+    }
+    house.until_true("all three are taken", || true).await;
+    let refused = house.send(&get("/")).await.expect("a word before it closes");
+    assert_eq!((refused.status, refused.header("retry-after")), (503, Some("1")));
+    drop(held);
+}
+
+async fn signal(house: &House) {
+    let id = house.fronts.process(0).expect("the front runs").to_string();
+    let sent = tokio::process::Command::new("kill").args(["-TERM", &id]).status().await;
+    assert!(sent.expect("a signal is sent").success());
+}
+
+#[tokio::test]
+async fn a_front_that_is_told_to_stop_finishes_what_it_holds() {
+    let house = House::open().await;
+    let manifest = house.ask("s", FREE).await;
+    house.ail(|a| a.slow = 60.0);
+    let waiting = house.ask_at(0, "waits", FREE).await;
+    house.until("its set-up", |seen| asked_for(seen) == 2).await;
+    signal(&house).await;
+    house
+        .until_true("it says so", || {
+            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            log.contains("stopping: no new plays")
+        })
+        .await;
+    assert_eq!(house.get(&house.manifest("new", FREE)).await.status, 503);
+    let held = waiting.answer().await;
+    assert_eq!(held.status, 200, "what it had taken is answered");
+    for play in [&manifest, &held] {
+        let base = base(play);
+        assert_eq!(house.get(&format!("{base}0/1.m4s")).await.status, 200, "and plays on");
+        let left = format!("DELETE {base} HTTP/1.1\r\nHost: f\r\n\r\n");
+        assert_eq!(house.send(&left).await.unwrap().status, 200);
+    }
+    assert!(house.fronts.ended(0).await, "it ends by itself, and well");
+    house.kept();
+}
+
+#[tokio::test]
+async fn plays_in_hand_get_a_final_answer_when_the_time_to_stop_is_up_and_a_second_signal_ends_at_once() {
+    let mut day = day();
+    day["limits"] = json!({ "stop_ms": 100 });
+    let house = House::of(day.clone()).await;
+    house.ail(|a| a.silent = true);
+    let waiting = house.ask_at(0, "waits", FREE).await;
+    house.until("its set-up", |seen| asked_for(seen) == 1).await;
+    signal(&house).await;
+    assert_eq!(waiting.answer().await.status, 504);
+    assert!(house.fronts.ended(0).await);
+    house.kept();
+
+    day["limits"] = json!({ "stop_ms": 600_000 });
+    let house = House::of(day).await;
+    assert_eq!(house.ask("s", FREE).await.status, 200);
+    signal(&house).await;
+    house
+        .until_true("it says so", || {
+            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            log.contains("stopping: no new plays")
+        })
+        .await;
+    signal(&house).await;
+    let ended = tokio::time::timeout(Duration::from_secs(30), house.fronts.ended(0)).await;
+    assert_eq!(ended, Ok(true), "ten minutes were not waited for");
+}
--- /dev/null
+++ b/crates/edge/tests/house/mod.rs
@@ -0,0 +1,228 @@
+//! A small house on loopback: stand-in servers, fronts as processes, and one player's hands. What is seen on
+//! the sockets is checked by the rules at the end of every story.
+
+use pulleystair_boxes::log::Log;
+use pulleystair_boxes::server::{self, Boxes};
+use pulleystair_boxes::wire::{Message, Peer};
+use pulleystair_boxes::world::Ails;
+use pulleystair_dash::address;
+use pulleystair_dash::token::Entry;
+use pulleystair_lab::fronts::{Fronts, portal};
+use pulleystair_lab::script::Day;
+use pulleystair_lab::stage::{Stage, Title, titles};
+use pulleystair_witness::rules::check;
+use pulleystair_witness::{Seen, What};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep};
+
+/// No event of these stories takes longer than this on any machine; it bounds a hang, and proves nothing.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+pub struct House {
+    pub day: Arc<Day>,
+    pub titles: Arc<Vec<Title>>,
+    pub boxes: Boxes,
+    pub fronts: Fronts,
+    pub stage: Stage,
+    pub log: Log,
+    pub at: Vec<SocketAddr>,
+    folder: tempfile::TempDir,
+    requests: AtomicU64,
+}
+
+/// Two products, `free` and `paid`, each with one title that all of four servers hold.
+pub fn day() -> Value {
+    let product = |name: &str, effect: &str| {
+        json!({
+            "name": name, "importance": 1, "first_frame_target_ms": 600, "time_limit_ms": 1500,
+            "effect": effect, "part": 0.5, "titles": 1, "holders": 4, "seconds": [4, 4],
+        })
+    };
+    json!({
+        "seed": 7, "seconds": 1, "fronts": 1, "zones": ["here"],
+        "fleet": {
+            "servers": 4, "racks": 2, "cores": 64, "queue": 4000, "streams": 1000, "link_kb": 100_000.0,
+            "rack_link_kb": 200_000.0, "spread": 0, "work_ms": 5, "work_spread": 0,
+            "reports_late_ms": 50, "notes_late_ms": 300, "notes_every_ms": 1000,
+            "list_late_ms": 300, "lease_ms": 200,
+        },
+        "ladder": [{ "rate_kb": 10, "earns": 0.4 }, { "rate_kb": 20, "earns": 1 }],
+        "products": [product("free", "read_like"), product("paid", "non_idempotent")],
+        "rules": {
+            "drain_grace_ms": 400, "cold_ms": 3000, "cold_from": 0.3, "overload_factor": 2.5,
+            "fall_ms": 1000, "down_ms": 1000, "allocations": 3, "retry_after_ms": 500,
+        },
+        "players": {
+            "per_s": 1, "come_back": 0, "leave": 0, "ask_twice": 0, "ask_again": 0, "small": 0,
+            "segment_ms": 1000,
+        },
+    })
+}
+
+impl House {
+    pub async fn open() -> House {
+        House::of(day()).await
+    }
+
+    pub async fn of(day: Value) -> House {
+        let day: Arc<Day> = Arc::new(serde_json::from_value(day).expect("the day reads"));
+        let log = Log::default();
+        let titles = Arc::new(titles(&day));
+        let known = titles.iter().map(|t| {
+            let title = server::Title { live: false, segment_ms: t.segment_ms, scale: 1.0 };
+            (t.name.clone(), title)
+        });
+        let products = day.products.iter().map(|p| p.name.clone()).collect();
+        let boxes =
+            Boxes::start(day.ground(), day.builds(), known.collect(), products, day.seed, log.clone())
+                .await
+                .expect("servers start");
+        let folder = tempfile::tempdir().expect("a folder can be had");
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_pulleystair-edge"));
+        let fronts = Fronts::new(&day, &program, folder.path(), log.clone()).expect("rundowns are written");
+        let list = folder.path().join("list.json");
+        let stage = Stage::new(day.clone(), titles.clone(), boxes.clone(), fronts.clone(), log.clone(), list)
+            .expect("the list is written");
+        let mut at = Vec::new();
+        for front in 0..day.fronts {
+            at.push(fronts.start(front).await.expect("a front starts"));
+        }
+        House { day, titles, boxes, fronts, stage, log, at, folder, requests: AtomicU64::new(1) }
+    }
+
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Changes what ails all servers.
+    pub fn ail(&self, change: impl Fn(&mut Ails)) {
+        self.boxes.world().servers.iter_mut().for_each(|s| change(&mut s.ails));
+    }
+
+    /// Changes what ails all servers but this one.
+    pub fn ail_all_but(&self, but: usize, change: impl Fn(&mut Ails)) {
+        let mut world = self.boxes.world();
+        let others = world.servers.iter_mut().enumerate().filter(|(server, _)| *server != but);
+        others.for_each(|(_, s)| change(&mut s.ails));
+    }
+
+    pub fn token(&self, session: &str, product: usize) -> String {
+        portal().sign(&Entry {
+            jti: session.into(),
+            sub: "viewer".into(),
+            product: self.day.products[product].name.clone(),
+            title: self.titles[product].name.clone(),
+            top: 1,
+            exp: (self.log.now() / 1000.0) as u64 + 600,
+        })
+    }
+
+    pub fn manifest(&self, session: &str, product: usize) -> String {
+        let (of, title) = (&self.day.products[product].name, &self.titles[product].name);
+        address::manifest(of, title, &self.token(session, product))
+    }
+
+    /// Writes a manifest request of a session; its answer is to be waited for by [`Asking::answer`].
+    pub async fn ask_at(&self, front: usize, session: &str, product: usize) -> Asking {
+        let stream = TcpStream::connect(self.at[front]).await.expect("the front takes connections");
+        let mut peer = Peer::new(stream);
+        let request = self.requests.fetch_add(1, Ordering::Relaxed);
+        self.log.saw(What::Asked {
+            request,
+            session: session.into(),
+            front,
+            product,
+            title: self.titles[product].name.clone(),
+            top: 1,
+        });
+        let target = self.manifest(session, product);
+        peer.write(get(&target).as_bytes()).await.expect("the request is taken");
+        Asking { peer, request, log: self.log.clone() }
+    }
+
+    pub async fn ask(&self, session: &str, product: usize) -> Message {
+        self.ask_at(0, session, product).await.answer().await
+    }
+
+    /// Any other request, on a connection of its own.
+    pub async fn get(&self, target: &str) -> Message {
+        self.send(&get(target)).await.expect("an answer comes")
+    }
+
+    /// Sends text as it is; none if the front closes without an answer.
+    pub async fn send(&self, text: &str) -> Option<Message> {
+        let mut peer = Peer::new(TcpStream::connect(self.at[0]).await.ok()?);
+        peer.write(text.as_bytes()).await.ok()?;
+        tokio::time::timeout(PATIENCE, peer.answer()).await.expect("the front does something").ok()?
+    }
+
+    /// Waits until something has been seen.
+    pub async fn until(&self, what: &str, seen: impl Fn(&[Seen]) -> bool) {
+        self.until_true(what, || seen(&self.log.taken())).await;
+    }
+
+    pub async fn until_true(&self, what: &str, so: impl Fn() -> bool) {
+        let start = Instant::now();
+        while !so() {
+            assert!(start.elapsed() < PATIENCE, "never came: {what}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub fn set_ups(&self) -> Vec<usize> {
+        let seen = self.log.taken();
+        let server = |s: &Seen| match s.what {
+            What::SetUp { server, .. } => Some(server),
+            _ => None,
+        };
+        seen.iter().filter_map(server).collect()
+    }
+
+    /// All rules must have been kept, on a log that holds something.
+    pub fn kept(&self) {
+        let (breaches, covered) = check(&self.log.taken(), &self.day.terms());
+        assert!(covered.requests > 0, "nothing was checked");
+        assert!(breaches.is_empty(), "{breaches:?}");
+    }
+}
+
+pub struct Asking {
+    pub peer: Peer,
+    request: u64,
+    log: Log,
+}
+
+impl Asking {
+    pub async fn answer(mut self) -> Message {
+        let answer = tokio::time::timeout(PATIENCE, self.peer.answer()).await.expect("an answer comes");
+        let answer = answer.expect("the answer is whole").expect("the front answers");
+        self.log.saw(What::Answered { request: self.request, status: answer.status });
+        answer
+    }
+
+    /// Closes without waiting for the answer.
+    pub fn leave(self) {
+        self.log.saw(What::Left { request: self.request });
+    }
+}
+
+pub fn get(target: &str) -> String {
+    format!("GET {target} HTTP/1.1\r\nHost: front\r\n\r\n")
+}
+
+pub fn text(message: &Message) -> &str {
+    std::str::from_utf8(&message.body).expect("answers are text")
+}
+
+/// Where a manifest says that its segments are.
+pub fn base(manifest: &Message) -> String {
+    let text = text(manifest);
+    let (_, rest) = text.split_once("<BaseURL>").expect("a manifest has its base");
+    rest.split_once("</BaseURL>").expect("a manifest has its base").0.to_string()
+}
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -179,6 +179,20 @@
         Ok(())
     }
 
+    /// The process id of a front that runs.
+    pub fn process(&self, front: usize) -> Option<u32> {
+        self.all.lock().expect("nobody dies while holding the fronts")[front].child.as_ref()?.id()
+    }
+
+    /// Waits for a front's own end; true if it ended well.
+    pub async fn ended(&self, front: usize) -> bool {
+        let child = self.all.lock().expect("nobody dies while holding the fronts")[front].child.take();
+        match child {
+            Some(mut child) => child.wait().await.is_ok_and(|status| status.success()),
+            None => false,
+        }
+    }
+
     /// CPU time that a front has used so far, ms, and its resident memory, kB; from the process table.
     pub fn used(&self, front: usize) -> Option<(f64, u64)> {
         let id =
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -48,8 +48,9 @@
     out
 }
 
+/// How a server stands on the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Listed {
+pub enum Listed {
     Ready { started: f64 },
     Draining { started: f64 },
     Gone,
@@ -131,7 +132,7 @@
     }
 
     /// Lists a server anew, for all fronts at once.
-    fn list(&self, server: usize, state: Listed) {
+    pub fn list(&self, server: usize, state: Listed) {
         self.board.lock().expect("nobody dies while holding the board").states[server] = state;
         self.log.saw(What::Listed { server, ready: matches!(state, Listed::Ready { .. }) });
         if let Err(e) = self.write() {
@@ -172,7 +173,8 @@
         });
     }
 
-    fn restart(&self, server: usize) {
+    /// A server's process starts anew, cold, and the list tells so.
+    pub fn restart(&self, server: usize) {
         self.boxes.restart(server, true);
         self.list(server, Listed::Ready { started: self.log.now() });
     }
