Measure what a front costs and set it beside a baseline; check rundowns by place and cause

A bench weighs the front's own codec against hyper on calloop's executor. Lists as plain JSON are no longer evaluated as templates.

--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -447,8 +447,9 @@
     for part in body.chunks(32 << 10) {
         let load = shared.world().load(server);
         let pace = if load.delivered < 1.0 { load.delivered } else { 4.0 };
-        if part.len() > 4096 {
-            let ms = part.len() as f64 / (kb * pace);
+        let ms = part.len() as f64 / (kb * pace);
+        // Shorter pauses than timers can keep are left out: such a link is not what holds a segment up.
+        if ms >= 1.0 {
             sleep(Duration::from_secs_f64(ms / 1000.0)).await;
         }
         peer.write(part).await?;
--- /dev/null
+++ b/crates/edge/benches/http.rs
@@ -0,0 +1,185 @@
+//! One small case, twice on one calloop loop: a kept connection's `GET` answered with 1 kB, by the front's own
+//! codec on httparse, and by hyper on calloop's executor. `cargo bench -p pulleystair-edge --bench http`.
+
+use calloop::generic::Generic;
+use calloop::io::Async;
+use calloop::{EventLoop, Interest, Mode, PostAction};
+use futures_io::{AsyncRead, AsyncWrite};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::rt::ReadBufCursor;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use pulleystair_edge::http;
+use std::convert::Infallible;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::mpsc;
+use std::task::{Context, Poll};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const BODY: [u8; 1024] = [b'x'; 1024];
+const CONNECTIONS: usize = 32;
+const REQUEST: &[u8] = b"GET /s/pass/0/1.m4s HTTP/1.1\r\nHost: front\r\n\r\n";
+const SECONDS: Duration = Duration::from_secs(4);
+
+struct Io(Async<'static, TcpStream>);
+
+impl hyper::rt::Read for Io {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+        mut into: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut part = [0; 8192];
+        let most = part.len().min(into.remaining());
+        Pin::new(&mut self.0).poll_read(context, &mut part[..most]).map_ok(|n| into.put_slice(&part[..n]))
+    }
+}
+
+impl hyper::rt::Write for Io {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(context, from)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_close(context)
+    }
+}
+
+fn with_hyper(listener: TcpListener) {
+    let mut events: EventLoop<()> = EventLoop::try_new().expect("a loop");
+    let (executor, scheduler) = calloop::futures::executor::<()>().expect("an executor");
+    events.handle().insert_source(executor, |(), (), ()| ()).expect("the executor runs");
+    let handle = events.handle();
+    listener.set_nonblocking(true).expect("a socket");
+    let source = Generic::new(listener, Interest::READ, Mode::Level);
+    let accepted = move |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, _: &mut ()| {
+        while let Ok((stream, _)) = listener.accept() {
+            stream.set_nodelay(true)?;
+            let stream = Io(handle.adapt_io(stream).map_err(io::Error::other)?);
+            let serve = http1::Builder::new().serve_connection(
+                stream,
+                service_fn(|_| async {
+                    Ok::<_, Infallible>(hyper::Response::new(Full::new(Bytes::from_static(&BODY))))
+                }),
+            );
+            let _ = scheduler.schedule(async move {
+                let _ = serve.await;
+            });
+        }
+        Ok(PostAction::Continue)
+    };
+    events.handle().insert_source(source, accepted).expect("connections are taken");
+    loop {
+        events.dispatch(None, &mut ()).expect("the loop runs");
+    }
+}
+
+fn with_codec(listener: TcpListener) {
+    let mut events: EventLoop<()> = EventLoop::try_new().expect("a loop");
+    let handle = events.handle();
+    listener.set_nonblocking(true).expect("a socket");
+    let source = Generic::new(listener, Interest::READ, Mode::Level);
+    let accepted = move |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, _: &mut ()| {
+        while let Ok((stream, _)) = listener.accept() {
+            stream.set_nodelay(true)?;
+            stream.set_nonblocking(true)?;
+            let (mut input, mut output) = (Vec::new(), Vec::new());
+            let source = Generic::new(stream, Interest::READ, Mode::Level);
+            let ready = move |_, stream: &mut calloop::generic::NoIoDrop<TcpStream>, _: &mut ()| {
+                let mut part = [0; 8192];
+                match (&**stream).read(&mut part) {
+                    Ok(0) | Err(_) => return Ok(PostAction::Remove),
+                    Ok(n) => input.extend_from_slice(&part[..n]),
+                }
+                while let Ok(Some((request, used))) = http::request(&input, 8192) {
+                    input.drain(..used);
+                    output.clear();
+                    http::head(&mut output, 200, BODY.len() as u64, request.keep_alive, &[]);
+                    output.extend_from_slice(&BODY);
+                    (&**stream).write_all(&output)?;
+                }
+                Ok(PostAction::Continue)
+            };
+            handle.insert_source(source, ready).map_err(io::Error::other)?;
+        }
+        Ok(PostAction::Continue)
+    };
+    events.handle().insert_source(source, accepted).expect("connections are taken");
+    loop {
+        events.dispatch(None, &mut ()).expect("the loop runs");
+    }
+}
+
+/// Requests one after another on each connection; how many were answered.
+fn ask(at: SocketAddr) -> usize {
+    let ends = Instant::now() + SECONDS;
+    let asking = move || {
+        let mut stream = TcpStream::connect(at).expect("a connection");
+        stream.set_nodelay(true).expect("a socket");
+        let (mut part, mut answered) = ([0; 8192], 0);
+        while Instant::now() < ends {
+            stream.write_all(REQUEST).expect("a request is taken");
+            let mut got = 0;
+            let mut whole = usize::MAX;
+            while got < whole {
+                let n = stream.read(&mut part[got..]).expect("an answer comes");
+                assert!(n > 0, "the connection stays");
+                got += n;
+                let head = part[..got].windows(4).position(|w| w == b"\r\n\r\n");
+                whole = head.map_or(usize::MAX, |at| at + 4 + BODY.len());
+            }
+            answered += 1;
+        }
+        answered
+    };
+    let all: Vec<_> = (0..CONNECTIONS).map(|_| thread::spawn(asking)).collect();
+    all.into_iter().map(|one| one.join().expect("it asks to the end")).sum()
+}
+
+/// CPU time of the calling thread's twin `id`, ms, in steps of 10.
+fn cpu_ms(id: i32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/self/task/{id}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit_once(") ").map_or("", |s| s.1).split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) * 10.0
+}
+
+fn measure(name: &str, serve: fn(TcpListener)) -> f64 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        let own = std::fs::read_link("/proc/thread-self").expect("a thread has its place");
+        let id = own.file_name().and_then(|n| n.to_str()).and_then(|n| n.parse().ok()).unwrap_or(0);
+        tell.send(id).expect("it is waited for");
+        serve(listener);
+    });
+    let id: i32 = told.recv().expect("it starts");
+    let before = cpu_ms(id);
+    let answered = ask(at);
+    let cpu = (cpu_ms(id) - before) * 1000.0 / answered as f64;
+    let per_s = answered as f64 / SECONDS.as_secs_f64();
+    println!("{name:<28} {per_s:>9.0} requests/s {cpu:>8.2} us CPU of the loop a request");
+    per_s
+}
+
+fn main() {
+    // `cargo test --benches` only wants to see that it runs.
+    if std::env::args().any(|a| a == "--test") {
+        return;
+    }
+    for round in 1..=3 {
+        println!("round {round}, {CONNECTIONS} kept connections, 1 kB answers");
+        let own = measure("own codec on httparse", with_codec);
+        let hyper = measure("hyper on calloop's executor", with_hyper);
+        println!("own/hyper {:.2}", own / hyper);
+    }
+}
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -7,14 +7,14 @@
 use pulleystair_boxes::world::Ails;
 use pulleystair_dash::address;
 use pulleystair_dash::token::Entry;
-use pulleystair_lab::fronts::{Fronts, portal};
+use pulleystair_lab::fronts::{Fronts, Program, portal};
 use pulleystair_lab::script::Day;
 use pulleystair_lab::stage::{Stage, Title, titles};
 use pulleystair_witness::rules::check;
 use pulleystair_witness::{Seen, What};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -84,8 +84,8 @@
                 .await
                 .expect("servers start");
         let folder = tempfile::tempdir().expect("a folder can be had");
-        let program = PathBuf::from(env!("CARGO_BIN_EXE_pulleystair-edge"));
-        let fronts = Fronts::new(&day, &program, folder.path(), log.clone()).expect("rundowns are written");
+        let program = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
+        let fronts = Fronts::new(&day, program, folder.path(), log.clone()).expect("rundowns are written");
         let list = folder.path().join("list.json");
         let stage = Stage::new(day.clone(), titles.clone(), boxes.clone(), fronts.clone(), log.clone(), list)
             .expect("the list is written");
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,7 +1,7 @@
 //! Plays one scripted day: starts servers and fronts, lets players come and troubles loose, stops all, and has
 //! the rules checked.
 
-use crate::fronts::{Fronts, portal};
+use crate::fronts::{Fronts, Program, portal};
 use crate::players::{Room, Watched, arrivals, let_come};
 use crate::script::Day;
 use crate::stage::{Stage, titles};
@@ -31,8 +31,8 @@
     pub used: Vec<Option<(f64, u64)>>,
 }
 
-/// Plays the day with fronts run from `program`, in a folder for what they are given and what they say.
-pub async fn play(day: Day, program: &Path, folder: &Path) -> Result<Outcome> {
+/// Plays the day with `program` as its fronts, in a folder for what they are given and what they say.
+pub async fn play(day: Day, program: Program, folder: &Path) -> Result<Outcome> {
     std::fs::create_dir_all(folder).with_context(|| format!("{} can't be made", folder.display()))?;
     let log = Log::default();
     let titles = Arc::new(titles(&day));
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -23,9 +23,23 @@
     address: Option<SocketAddr>,
 }
 
+/// What is run as a front: a program, and its words before the rundown's file.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub words: Vec<String>,
+}
+
+impl Program {
+    /// The real front.
+    pub fn edge(path: PathBuf) -> Program {
+        Program { path, words: ["--log", "json", "run"].map(String::from).to_vec() }
+    }
+}
+
 #[derive(Clone)]
 pub struct Fronts {
-    program: PathBuf,
+    program: Program,
     folder: PathBuf,
     zones: usize,
     all: Arc<Mutex<Vec<Front>>>,
@@ -99,7 +113,7 @@
 
 impl Fronts {
     /// Writes keys and rundowns into the folder; the list must be there before a front starts.
-    pub fn new(day: &Day, program: &Path, folder: &Path, log: Log) -> Result<Fronts> {
+    pub fn new(day: &Day, program: Program, folder: &Path, log: Log) -> Result<Fronts> {
         std::fs::write(folder.join("entry.key"), entry_secret())?;
         std::fs::write(folder.join("pass.key"), b"session tokens of this laboratory, not a secret")?;
         for front in 0..day.fronts {
@@ -108,7 +122,7 @@
         }
         let all = (0..day.fronts).map(|_| Front { child: None, address: None }).collect();
         Ok(Fronts {
-            program: program.into(),
+            program,
             folder: folder.into(),
             zones: day.zones.len(),
             all: Arc::new(Mutex::new(all)),
@@ -122,15 +136,15 @@
 
     /// Starts a front and waits until it listens.
     pub async fn start(&self, front: usize) -> Result<SocketAddr> {
-        let mut child = Command::new(&self.program)
-            .args(["--log", "json", "run"])
+        let mut child = Command::new(&self.program.path)
+            .args(&self.program.words)
             .arg(self.folder.join(format!("front-{front}.json")))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
-            .with_context(|| format!("{} can't be started", self.program.display()))?;
+            .with_context(|| format!("{} can't be started", self.program.path.display()))?;
         let words = child.stderr.take().context("a front's words are piped")?;
         let (tell, told) = oneshot::channel();
         let file = self.folder.join(format!("front-{front}.log"));
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,374 @@
+//! What a front costs: set-up time over a stand-in's own, the most plays a second, CPU, memory, and relayed
+//! bytes against a direct read. Arrivals are open-loop and latency counts from the intended time, so a front
+//! that falls behind shows; a generator that falls behind says so.
+
+use crate::fronts::{Fronts, Program, portal};
+use crate::report::{Quantiles, quantiles};
+use crate::script::Day;
+use crate::stage::{Stage, Title, ms, titles};
+use anyhow::{Context, Result, ensure};
+use pulleystair_boxes::log::Log;
+use pulleystair_boxes::server::{self, Boxes};
+use pulleystair_boxes::wire::Peer;
+use pulleystair_dash::address;
+use pulleystair_dash::token::{Entry, Ring};
+use serde::Serialize;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// The p99 of set-up time up to which a rate counts as carried, ms.
+const CARRIED: f64 = 50.0;
+/// A generator whose latest start is later than this has fallen behind, ms.
+const BEHIND: f64 = 25.0;
+/// Plays that are held at once for the memory figure.
+const HELD: usize = 10_000;
+
+#[derive(Debug, Serialize)]
+pub struct Costs {
+    pub rates: Vec<Rate>,
+    /// The highest rate tried whose p99 stayed within `CARRIED`, plays a second.
+    pub most_a_second: f64,
+    pub held: usize,
+    pub memory_before_kb: u64,
+    pub memory_held_kb: u64,
+    pub relay_mb_s: f64,
+    pub direct_mb_s: f64,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Rate {
+    pub per_s: f64,
+    pub plays: usize,
+    pub failed: usize,
+    /// A bare exchange on a kept connection, a set-up at the server itself, and a play through the front.
+    pub bare_ms: Quantiles,
+    pub direct_ms: Quantiles,
+    pub front_ms: Quantiles,
+    pub cpu_ms_a_play: f64,
+    pub lateness_ms: f64,
+    pub behind: bool,
+}
+
+fn day() -> Result<Day> {
+    Ok(serde_json::from_value(json!({
+        "seed": 1, "seconds": 1, "fronts": 1, "zones": ["here"],
+        "fleet": {
+            "servers": 8, "racks": 2, "cores": 100_000, "queue": 100_000, "streams": 100_000,
+            "link_kb": 1e10, "rack_link_kb": 1e11, "spread": 0, "work_ms": 0, "work_spread": 0,
+            "reports_late_ms": 50, "notes_late_ms": 300, "notes_every_ms": 5000,
+            "list_late_ms": 300, "lease_ms": 200,
+        },
+        "ladder": [{ "rate_kb": 12_000, "earns": 0.5 }, { "rate_kb": 15_000, "earns": 1 }],
+        "products": [{
+            "name": "any", "importance": 1, "first_frame_target_ms": 2000, "time_limit_ms": 10_000,
+            "part": 1, "titles": 16, "holders": 8, "seconds": [600, 600],
+        }],
+        "rules": {
+            "drain_grace_ms": 400, "cold_ms": 1000, "cold_from": 0.5, "overload_factor": 2,
+            "fall_ms": 1000, "down_ms": 1000, "allocations": 2, "retry_after_ms": 500,
+        },
+        "players": {
+            "per_s": 1, "come_back": 0, "leave": 0, "ask_twice": 0, "ask_again": 0, "small": 0,
+            "segment_ms": 1000,
+        },
+        "limits": {
+            "connections": 16_000, "deciding": 16_000, "plays": 16_000, "sessions": 1_000_000,
+            "remember_ms": 200, "play_idle_ms": 600_000,
+        },
+    }))?)
+}
+
+struct Rig {
+    boxes: Boxes,
+    fronts: Fronts,
+    front: SocketAddr,
+    titles: Vec<Title>,
+    portal: Ring,
+    next: AtomicU64,
+}
+
+pub async fn run(program: Program, folder: &Path, seconds: f64) -> Result<Costs> {
+    std::fs::create_dir_all(folder)?;
+    let day = Arc::new(day()?);
+    let titles = Arc::new(titles(&day));
+    let log = Log::default();
+    let known = titles
+        .iter()
+        .map(|t| (t.name.clone(), server::Title { live: false, segment_ms: t.segment_ms, scale: 1.0 }));
+    let boxes =
+        Boxes::start(day.ground(), day.builds(), known.collect(), vec!["any".into()], day.seed, log.clone())
+            .await?;
+    let fronts = Fronts::new(&day, program, folder, log.clone())?;
+    let file = folder.join("list.json");
+    Stage::new(day.clone(), titles.clone(), boxes.clone(), fronts.clone(), log, file)?;
+    let front = fronts.start(0).await?;
+    let titles = titles.to_vec();
+    let rig = Arc::new(Rig { boxes, fronts, front, titles, portal: portal(), next: AtomicU64::new(0) });
+    // Warm: allocators, connections, and the decisions' first figures.
+    rig.rate(200.0, 1.0).await?;
+    let mut rates = vec![rig.rate(30.0, 2.0 * seconds).await?, rig.rate(1000.0, seconds).await?];
+    let mut most = 0.0;
+    let mut per_s = 1500.0;
+    while per_s < 20_000.0 {
+        let rate = rig.rate(per_s, seconds / 2.0).await?;
+        let carried = rate.front_ms.p99 <= CARRIED && rate.failed == 0 && !rate.behind;
+        rates.push(rate);
+        if !carried {
+            break;
+        }
+        most = per_s;
+        per_s *= 1.25;
+    }
+    if most == 0.0 && rates[1].front_ms.p99 <= CARRIED {
+        most = 1000.0;
+    }
+    sleep(ms(1000.0)).await;
+    let (relay_mb_s, direct_mb_s) = rig.relay(seconds).await?;
+    let memory = |rig: &Rig| Ok(rig.fronts.used(0).context("the front runs")?.1);
+    let before: Result<u64> = memory(&rig);
+    for _ in 0..HELD {
+        let (answer, _) = rig.play().await?;
+        ensure!(answer == 200, "a play that was to be held was answered {answer}");
+    }
+    let held: Result<u64> = memory(&rig);
+    rig.fronts.kill(0).await;
+    Ok(Costs {
+        rates,
+        most_a_second: most,
+        held: HELD,
+        memory_before_kb: before?,
+        memory_held_kb: held?,
+        relay_mb_s,
+        direct_mb_s,
+    })
+}
+
+impl Rig {
+    /// Asks for a play on a connection of its own; its status and the manifest.
+    async fn play(&self) -> Result<(u16, Vec<u8>)> {
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        let title = &self.titles[n as usize % self.titles.len()].name;
+        let token = self.portal.sign(&Entry {
+            jti: format!("s{n}"),
+            sub: "v".into(),
+            product: "any".into(),
+            title: title.clone(),
+            top: 0,
+            exp: u64::MAX >> 12,
+        });
+        let mut peer = Peer::new(TcpStream::connect(self.front).await?);
+        let target = address::manifest("any", title, &token);
+        peer.write(format!("GET {target} HTTP/1.1\r\nHost: f\r\n\r\n").as_bytes()).await?;
+        let answer = peer.answer().await?.context("the front closed")?;
+        Ok((answer.status, answer.body))
+    }
+
+    async fn end(&self, manifest: &[u8]) -> Result<()> {
+        let mut peer = Peer::new(TcpStream::connect(self.front).await?);
+        let base = base(manifest)?;
+        peer.write(format!("DELETE {base} HTTP/1.1\r\nHost: f\r\n\r\n").as_bytes()).await?;
+        peer.answer().await?;
+        Ok(())
+    }
+
+    /// A set-up at a server itself, and its end.
+    async fn direct(&self) -> Result<u16> {
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        let at = self.boxes.addresses[n as usize % self.boxes.addresses.len()];
+        let mut peer = Peer::new(TcpStream::connect(at).await?);
+        let title = &self.titles[n as usize % self.titles.len()].name;
+        let body = json!({ "title": title, "product": "any", "rung": 0, "session": "d" }).to_string();
+        let head =
+            format!("POST /plays/d-{n}-1 HTTP/1.1\r\nHost: b\r\nContent-Length: {}\r\n\r\n", body.len());
+        peer.write((head + &body).as_bytes()).await?;
+        Ok(peer.answer_head().await?.context("the server closed")?.status)
+    }
+
+    /// Open-loop arrivals of one kind; latencies from the intended times, failures, and the latest start.
+    async fn arrive<F, R>(&self, per_s: f64, seconds: f64, one: F) -> (Vec<f64>, usize, f64)
+    where
+        F: Fn(Instant) -> R,
+        R: Future<Output = Option<f64>> + Send + 'static,
+    {
+        let start = Instant::now() + ms(20.0);
+        let (mut late, mut all) = (0.0f64, Vec::new());
+        for i in 0..(per_s * seconds) as usize {
+            let due = start + Duration::from_secs_f64(i as f64 / per_s);
+            sleep_until(due).await;
+            late = late.max(due.elapsed().as_secs_f64() * 1000.0);
+            all.push(tokio::spawn(one(due)));
+        }
+        let (mut took, mut failed) = (Vec::new(), 0);
+        for one in all {
+            match one.await {
+                Ok(Some(ms)) => took.push(ms),
+                _ => failed += 1,
+            }
+        }
+        (took, failed, late)
+    }
+
+    async fn rate(self: &Arc<Rig>, per_s: f64, seconds: f64) -> Result<Rate> {
+        let since = |due: Instant| due.elapsed().as_secs_f64() * 1000.0;
+        let rig = self.clone();
+        let kept = Arc::new(Mutex::new(Vec::<Peer>::new()));
+        let (bare, _, _) = self
+            .arrive(per_s, seconds, move |due| {
+                let (rig, kept) = (rig.clone(), kept.clone());
+                async move {
+                    let peer = kept.lock().expect("no exchange dies").pop();
+                    let mut peer = match peer {
+                        Some(peer) => peer,
+                        None => Peer::new(TcpStream::connect(rig.boxes.addresses[0]).await.ok()?),
+                    };
+                    peer.write(b"GET /load HTTP/1.1\r\nHost: b\r\n\r\n").await.ok()?;
+                    peer.answer().await.ok()??;
+                    let took = since(due);
+                    kept.lock().expect("no exchange dies").push(peer);
+                    Some(took)
+                }
+            })
+            .await;
+        let rig = self.clone();
+        let (direct, _, _) = self
+            .arrive(per_s, seconds, move |due| {
+                let rig = rig.clone();
+                async move { (rig.direct().await.ok()? == 200).then(|| since(due)) }
+            })
+            .await;
+        let before = self.fronts.used(0).context("the front runs")?.0;
+        let rig = self.clone();
+        let (front, failed, late) = self
+            .arrive(per_s, seconds, move |due| {
+                let rig = rig.clone();
+                async move {
+                    let (status, manifest) = timeout(ms(15_000.0), rig.play()).await.ok()?.ok()?;
+                    let took = since(due);
+                    if status == 200 {
+                        rig.end(&manifest).await.ok()?;
+                    }
+                    (status == 200).then_some(took)
+                }
+            })
+            .await;
+        let plays = front.len() + failed;
+        let cpu = self.fronts.used(0).context("the front runs")?.0 - before;
+        Ok(Rate {
+            per_s,
+            plays,
+            failed,
+            bare_ms: quantiles(bare.into_iter())?,
+            direct_ms: quantiles(direct.into_iter())?,
+            front_ms: quantiles(front.into_iter())?,
+            cpu_ms_a_play: cpu / plays.max(1) as f64,
+            lateness_ms: late,
+            behind: late > BEHIND,
+        })
+    }
+
+    /// Bytes a second of one segment after another, four readers at once, through the front and from a server.
+    async fn relay(self: &Arc<Rig>, seconds: f64) -> Result<(f64, f64)> {
+        let mut plays = Vec::new();
+        for _ in 0..4 {
+            let (status, manifest) = self.play().await?;
+            ensure!(status == 200, "a play to read from was answered {status}");
+            plays.push((self.front, format!("{}0/1.m4s", base(&manifest)?)));
+        }
+        let through = read_for(&plays, seconds).await?;
+        let mut direct = Vec::new();
+        let mut held = Vec::new();
+        for n in 0..4 {
+            let at = self.boxes.addresses[n];
+            let mut peer = Peer::new(TcpStream::connect(at).await?);
+            let body = json!({
+                "title": self.titles[n].name, "product": "any", "rung": 0, "session": "r",
+            })
+            .to_string();
+            let head =
+                format!("POST /plays/r-{n}-1 HTTP/1.1\r\nHost: b\r\nContent-Length: {}\r\n\r\n", body.len());
+            peer.write((head + &body).as_bytes()).await?;
+            peer.answer_head().await?.context("the server closed")?;
+            held.push(peer);
+            direct.push((at, format!("/plays/r-{n}-1/0/1")));
+        }
+        Ok((through, read_for(&direct, seconds).await?))
+    }
+}
+
+async fn read_for(from: &[(SocketAddr, String)], seconds: f64) -> Result<f64> {
+    let start = Instant::now();
+    let until = start + Duration::from_secs_f64(seconds);
+    let mut all = Vec::new();
+    for (at, target) in from.iter().cloned() {
+        all.push(tokio::spawn(async move {
+            let mut peer = Peer::new(TcpStream::connect(at).await?);
+            let mut bytes = 0;
+            while Instant::now() < until {
+                peer.write(format!("GET {target} HTTP/1.1\r\nHost: f\r\n\r\n").as_bytes()).await?;
+                let answer = peer.answer().await?.context("closed in the middle")?;
+                ensure!(answer.status == 200, "a segment was answered {}", answer.status);
+                bytes += answer.body.len();
+            }
+            Ok(bytes)
+        }));
+    }
+    let mut bytes = 0;
+    for one in all {
+        bytes += one.await??;
+    }
+    Ok(bytes as f64 / 1e6 / start.elapsed().as_secs_f64())
+}
+
+fn base(manifest: &[u8]) -> Result<String> {
+    let mpd = dash_mpd::parse(std::str::from_utf8(manifest)?)?;
+    Ok(mpd.base_url.first().context("a manifest has its base")?.base.clone())
+}
+
+impl Costs {
+    pub fn text(&self) -> String {
+        let mut out = format!(
+            "{:>9} {:>7} {:>24} {:>24} {:>30} {:>9} {:>8}\n",
+            "plays/s",
+            "failed",
+            "bare p50/p99/p99.9 ms",
+            "set-up p50/p99/p99.9",
+            "front p50/p99/p99.9 (x bare)",
+            "CPU ms",
+            "late ms"
+        );
+        let three = |q: &Quantiles| format!("{:.2}/{:.2}/{:.2}", q.p50, q.p99, q.p999);
+        for r in &self.rates {
+            let times = r.front_ms.p50 / r.bare_ms.p50.max(1e-9);
+            out += &format!(
+                "{:>9.0} {:>7} {:>24} {:>24} {:>30} {:>9.3} {:>8.1}{}\n",
+                r.per_s,
+                r.failed,
+                three(&r.bare_ms),
+                three(&r.direct_ms),
+                format!("{} ({times:.1})", three(&r.front_ms)),
+                r.cpu_ms_a_play,
+                r.lateness_ms,
+                if r.behind { "  the generator fell behind: no result" } else { "" }
+            );
+        }
+        out += &format!("most plays a second with p99 within {CARRIED} ms: {:.0}\n", self.most_a_second);
+        let each = (self.memory_held_kb.saturating_sub(self.memory_before_kb)) as f64 / self.held as f64;
+        out += &format!(
+            "memory: {} kB before, {} kB with {} plays held ({each:.2} kB each)\n",
+            self.memory_before_kb, self.memory_held_kb, self.held
+        );
+        out += &format!(
+            "relay: {:.0} MB/s through the front, {:.0} MB/s read from the servers ({:.2})\n",
+            self.relay_mb_s,
+            self.direct_mb_s,
+            self.relay_mb_s / self.direct_mb_s.max(1e-9)
+        );
+        out
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,8 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
-use pulleystair_lab::{day, report, script::Day};
+use pulleystair_lab::fronts::Program;
+use pulleystair_lab::{baseline, day, load, report, script::Day};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -27,7 +28,23 @@
         /// The front to run; the one beside this program where left out
         #[arg(long)]
         edge: Option<PathBuf>,
+        /// Run the baseline instead: holders drawn evenly, lowest rung
+        #[arg(long, conflicts_with = "edge")]
+        baseline: bool,
     },
+    /// Measure what a front costs: set-up time, plays a second, CPU, memory, relayed bytes
+    Load {
+        /// Seconds that each rate is held
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        #[arg(long, default_value = "found/load")]
+        out: PathBuf,
+        #[arg(long)]
+        edge: Option<PathBuf>,
+    },
+    /// Be a baseline front, as `day --baseline` starts them
+    #[command(hide = true)]
+    Baseline { rundown: PathBuf },
 }
 
 /// The front that was built with this program.
@@ -41,12 +58,16 @@
 
 fn run(command: Command) -> Result<bool> {
     match command.job {
-        Job::Day { script, seed, out, edge } => {
+        Job::Day { script, seed, out, edge, baseline } => {
             let mut day = Day::read(&script)?;
             day.seed = seed.unwrap_or(day.seed);
-            let edge = edge.map_or_else(beside, Ok)?;
+            let program = if baseline {
+                Program { path: std::env::current_exe()?, words: vec!["baseline".into()] }
+            } else {
+                Program::edge(edge.map_or_else(beside, Ok)?)
+            };
             let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-            let outcome = runtime.block_on(day::play(day.clone(), &edge, &out))?;
+            let outcome = runtime.block_on(day::play(day.clone(), program, &out))?;
             let it = report::report(&day, &outcome)?;
             print!("{}", it.text());
             std::fs::write(out.join("report.json"), serde_json::to_string_pretty(&it)?)?;
@@ -56,6 +77,18 @@
             println!("report.json, plays.svg, seen.jsonl and the fronts' logs are in {}", out.display());
             Ok(outcome.breaches.is_empty())
         }
+        Job::Load { seconds, out, edge } => {
+            let program = Program::edge(edge.map_or_else(beside, Ok)?);
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+            let costs = runtime.block_on(load::run(program, &out, seconds))?;
+            print!("{}", costs.text());
+            std::fs::write(out.join("load.json"), serde_json::to_string_pretty(&costs)?)?;
+            Ok(true)
+        }
+        Job::Baseline { rundown } => {
+            tokio::runtime::Runtime::new()?.block_on(baseline::run(&rundown))?;
+            Ok(true)
+        }
     }
 }
 
--- a/crates/lab/src/players.rs
+++ b/crates/lab/src/players.rs
@@ -43,6 +43,9 @@
     pub tries: usize,
     pub segments: usize,
     pub rungs: usize,
+    /// What the rungs it was shown at earn, by the second, and how long the title is.
+    pub earned_s: f64,
+    pub title_s: f64,
     pub stalled_ms: f64,
     pub stalls: usize,
     pub broken: bool,
@@ -129,7 +132,8 @@
     pub async fn watch(self: Arc<Room>, arrival: Arrival) {
         let mut rnd = StdRng::seed_from_u64(arrival.seed);
         let title = &self.titles[arrival.title];
-        let mut seen = Watched { product: title.product, came: arrival.at, ..Watched::default() };
+        let title_s = title.duration_ms as f64 / 1000.0;
+        let mut seen = Watched { product: title.product, came: arrival.at, title_s, ..Watched::default() };
         let came = Instant::now();
         let players = &self.day.players;
         for come in 0..COMES {
@@ -279,6 +283,7 @@
             let got = content::read(&body);
             if let Some(got) = &got {
                 seen.rungs += got.rung;
+                seen.earned_s += self.day.ladder[got.rung].earns * segment.as_secs_f64();
             }
             let (title, session) = (title.name.clone(), session.to_string());
             self.log.saw(What::Fetched { session, title, number, rung, got });
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,6 +1,7 @@
 //! What a day came to: lines for a person, a JSON report, and a plot of the plays over time.
 
 use crate::day::Outcome;
+use crate::players::Watched;
 use crate::script::Day;
 use anyhow::{Result, anyhow};
 use hdrhistogram::Histogram;
@@ -14,6 +15,9 @@
     pub seed: u64,
     /// Importance answered within the first-frame target over the importance asked for.
     pub service: f64,
+    /// Importance earned by the second: what the rungs shown earn, less the time stalled, over what all plays
+    /// asked for would earn on the highest rung without a stall.
+    pub worth: f64,
     pub plays: usize,
     pub products: Vec<Product>,
     /// From the first request to the manifest, over all plays that were set up, ms.
@@ -95,11 +99,17 @@
     let worth = |count: fn(&Product) -> usize| -> f64 {
         products.iter().zip(&day.products).map(|(p, d)| count(p) as f64 * d.importance).sum()
     };
+    let best = day.ladder.iter().map(|r| r.earns).fold(0.0, f64::max);
+    let importance = |w: &Watched| day.products[w.product].importance;
+    let earned: f64 =
+        watched.iter().map(|w| importance(w) * (w.earned_s - w.stalled_ms / 1000.0).max(0.0)).sum();
+    let asked: f64 = watched.iter().map(|w| importance(w) * w.title_s * best).sum();
     let segments: usize = watched.iter().map(|w| w.segments).sum();
     let cpu: f64 = outcome.used.iter().flatten().map(|u| u.0).sum();
     Ok(Report {
         seed: day.seed,
         service: worth(|p| p.in_time) / worth(|p| p.plays).max(1e-9),
+        worth: earned / asked.max(1e-9),
         plays: watched.len(),
         set_up_ms: quantiles(watched.iter().filter_map(|w| w.set_up_ms))?,
         segments,
@@ -134,7 +144,10 @@
         let mut line = |text: String| {
             let _ = writeln!(out, "{text}");
         };
-        line(format!("seed {}: {} plays asked for; service {:.3}", self.seed, self.plays, self.service));
+        line(format!(
+            "seed {}: {} plays asked for; service {:.3}, worth {:.3}",
+            self.seed, self.plays, self.service, self.worth
+        ));
         line(format!(
             "{:<16}{:>8}{:>9}{:>7}{:>10}{:>8}",
             "product", "plays", "in time", "late", "declined", "failed"
--- a/crates/templates/src/lib.rs
+++ b/crates/templates/src/lib.rs
@@ -21,8 +21,9 @@
     Value { file: String, path: String, cause: String },
 }
 
-/// The largest file that is evaluated, bytes.
+/// The largest files that are evaluated, and that are read as plain JSON, bytes.
 pub const LARGEST: u64 = 1 << 20;
+pub const LARGEST_JSON: u64 = 16 << 20;
 /// Nested calls at most, so that a template that calls itself ends with an error.
 const DEPTH: usize = 200;
 
@@ -55,13 +56,8 @@
 /// Evaluates a Jsonnet file to JSON text.
 pub fn evaluate(file: &Path) -> Result<String, Fault> {
     let name = file.display().to_string();
-    let unreadable = |cause| Fault::Unreadable { file: name.clone(), cause };
-    let real = file.canonicalize().map_err(unreadable)?;
-    let size = std::fs::metadata(&real).map_err(unreadable)?.len();
-    if size > LARGEST {
-        let cause = format!("has {size} bytes, over {LARGEST}");
-        return Err(Fault::Jsonnet { file: name, cause });
-    }
+    let real = file.canonicalize().map_err(|cause| Fault::Unreadable { file: name.clone(), cause })?;
+    bounded(file, LARGEST)?;
     let root = real.parent().unwrap_or(Path::new("/")).to_path_buf();
     let state = EvaluationState::default();
     state.with_stdlib();
@@ -73,15 +69,39 @@
     Ok(json.to_string())
 }
 
-/// Evaluates a Jsonnet file and reads it into a typed value.
+fn bounded(file: &Path, most: u64) -> Result<(), Fault> {
+    let name = file.display().to_string();
+    match std::fs::metadata(file) {
+        Err(cause) => Err(Fault::Unreadable { file: name, cause }),
+        Ok(meta) if meta.len() > most => {
+            let cause = format!("has {} bytes, over {most}", meta.len());
+            Err(Fault::Value { file: name, path: ".".into(), cause })
+        }
+        Ok(_) => Ok(()),
+    }
+}
+
+/// Reads a file into a typed value: plain JSON where its name ends so, which large lists may be; else Jsonnet.
 pub fn load<T: DeserializeOwned>(file: &Path) -> Result<T, Fault> {
-    let json = evaluate(file)?;
+    let json = if file.extension().is_some_and(|e| e == "json") {
+        bounded(file, LARGEST_JSON)?;
+        std::fs::read_to_string(file)
+            .map_err(|cause| Fault::Unreadable { file: file.display().to_string(), cause })?
+    } else {
+        evaluate(file)?
+    };
     let mut reader = serde_json::Deserializer::from_str(&json);
-    serde_path_to_error::deserialize(&mut reader).map_err(|e| Fault::Value {
-        file: file.display().to_string(),
-        path: e.path().to_string(),
-        cause: e.inner().to_string().split(" at line").next().unwrap_or_default().to_string(),
-    })
+    let fault = |path: String, e: &serde_json::Error| {
+        // Lines are those of the file only where it is JSON itself.
+        let cause = e.to_string();
+        let short = cause.split(" at line").next().unwrap_or_default().to_string();
+        let cause = if e.is_data() { short } else { cause };
+        Fault::Value { file: file.display().to_string(), path, cause }
+    };
+    let value =
+        serde_path_to_error::deserialize(&mut reader).map_err(|e| fault(e.path().to_string(), e.inner()))?;
+    reader.end().map_err(|e| fault(".".into(), &e))?;
+    Ok(value)
 }
 
 /// A fault found in a value that reads well but can't be: names file, path, what was found, what is allowed.
