Give titles numbers of their own, so that a list that changes places can't mix plays up

A session kept its title as a place in the list in hand; a list with another order would have given running plays another title's segments, and a shorter one a panic. Titles now have numbers for good, and a session keeps what the list said when it was asked for; a title that is listed no more goes on for those who play it. The floor (the desk's hands) has a file of its own.

--- /dev/null
+++ b/crates/edge/src/floor.rs
@@ -0,0 +1,585 @@
+//! The floor: what the desk's hands work with. Connections, the sessions' book, servers and their pools, clocks,
+//! and the answers written to players. It never calls the desk; what it finds while the desk is busy goes to
+//! [`Floor::news`], which [`crate::edge`] tells afterwards.
+
+use crate::http;
+use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
+use crate::listing::{Title, Watched};
+use crate::rundown::Rundown;
+use crate::sessions::{Book, Final, Stage as Life};
+use calloop::{LoopHandle, RegistrationToken};
+use pulleystair::{Figure, Outcome};
+use pulleystair_dash::address;
+use pulleystair_dash::mpd::Presentation;
+use pulleystair_dash::token::{Pass, Ring};
+use pulleystair_desk::Hands;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::{debug, error, info};
+
+use crate::edge::Edge;
+
+/// A connection that is told to close may take so long to read its answer, ms.
+const LEAVE: f64 = 1_000.0;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Clock {
+    Desk(u32),
+    /// The time-out of a play's so-many-th allocation.
+    TimeOut(u64, usize),
+    Line(Key),
+    Session(u64),
+    List,
+    Accept,
+    Stop,
+}
+
+/// A media server as the floor knows it: how to reach it, and the lines that are there.
+pub(crate) struct Server {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) idle: Vec<Key>,
+    pub(crate) lines: usize,
+    pub(crate) queue: VecDeque<Errand>,
+}
+
+/// An allocation's end that was found while the desk was busy.
+pub(crate) struct News {
+    pub(crate) play: u64,
+    pub(crate) server: u32,
+    pub(crate) outcome: Outcome,
+}
+
+pub(crate) struct Floor {
+    pub(crate) rundown: Rundown,
+    pub(crate) entry_keys: Ring,
+    pub(crate) pass_keys: Ring,
+    pub(crate) lines: Lines,
+    pub(crate) handle: LoopHandle<'static, Edge>,
+    pub(crate) door: Option<RegistrationToken>,
+    pub(crate) book: Book,
+    pub(crate) watched: Watched,
+    /// Every title ever listed has a number of its own; what is listed now is told beside what it is.
+    pub(crate) titles: HashMap<(usize, String), usize>,
+    pub(crate) shows: Vec<(Rc<Title>, bool)>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) server_numbers: HashMap<String, u32>,
+    pub(crate) clocks: BinaryHeap<Reverse<(u64, Clock)>>,
+    pub(crate) news: VecDeque<News>,
+    pub(crate) players: usize,
+    /// The pooled connection that fetches for a player, and how many errands are out or wait.
+    pub(crate) fetchers: HashMap<Key, Key>,
+    pub(crate) errands_out: usize,
+    /// Players with a further request at hand when their answer was written.
+    pub(crate) woken: Vec<Key>,
+    /// Names this run of this front in the names of its allocations.
+    pub(crate) run: String,
+    pub(crate) started: (Instant, f64),
+    pub(crate) stopping: bool,
+    /// A second signal came.
+    pub(crate) halted: bool,
+}
+
+pub(crate) fn words(status: u16, why: &str) -> Final {
+    Final { status, body: format!("{why}\n").into(), retry_after: None }
+}
+
+impl Floor {
+    /// ms since 1970, never going back.
+    pub(crate) fn now(&self) -> f64 {
+        self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub(crate) fn clock(&mut self, at: f64, clock: Clock) {
+        self.clocks.push(Reverse(((at * 1000.0).max(0.0).ceil() as u64, clock)));
+    }
+
+    pub(crate) fn next_clock(&self) -> Option<Duration> {
+        let next = self.clocks.peek()?.0.0 as f64 / 1000.0;
+        Some(Duration::from_secs_f64((next - self.now()).max(0.0) / 1000.0))
+    }
+
+    pub(crate) fn done(&self) -> bool {
+        let idle = self.book.deciding() + self.book.playing() == 0 && self.errands_out == 0;
+        self.halted || self.stopping && idle
+    }
+
+    pub(crate) fn name(&self, server: u32) -> &str {
+        self.servers.get(server as usize).map_or("?", |s| s.name.as_str())
+    }
+
+    pub(crate) fn set_due(&mut self, key: Key, due: f64) {
+        if let Some(line) = self.lines.get(key) {
+            line.due = due;
+            self.clock(due, Clock::Line(key));
+        }
+    }
+
+    pub(crate) fn take_connections(&self, so: bool) {
+        let Some(door) = &self.door else { return };
+        let done = if so { self.handle.enable(door) } else { self.handle.disable(door) };
+        if let Err(e) = done {
+            error!(target: "front", "the listening socket can't be set: {e}");
+        }
+    }
+
+    // ---- answers to players ----
+
+    /// Seconds to stay away that a player is told.
+    pub(crate) fn retry_after(&self) -> u64 {
+        (self.rundown.rules.retry_after_ms / 1000.0).ceil().max(1.0) as u64
+    }
+
+    pub(crate) fn away(&self, why: &str) -> Final {
+        Final { retry_after: Some(self.retry_after()), ..words(503, why) }
+    }
+
+    pub(crate) fn answer(&mut self, key: Key, answer: &Final) {
+        let keep_alive = self.lines.get(key).is_some_and(|line| line.keep_alive);
+        self.write_answer(key, answer, keep_alive);
+        self.answered(key);
+    }
+
+    /// Answers and closes.
+    pub(crate) fn leave(&mut self, key: Key, answer: &Final) {
+        self.write_answer(key, answer, false);
+        if let Some(line) = self.lines.get(key) {
+            line.keep_alive = false;
+        }
+        self.answered(key);
+    }
+
+    pub(crate) fn write_answer(&mut self, key: Key, answer: &Final, keep_alive: bool) {
+        let kind = if answer.status == 200 && answer.body.starts_with("<?xml") {
+            "Content-Type: application/dash+xml"
+        } else {
+            "Content-Type: text/plain; charset=utf-8"
+        };
+        let mut more = vec![kind.to_string()];
+        if let Some(s) = answer.retry_after {
+            more.push(format!("Retry-After: {s}"));
+        }
+        if answer.status == 401 {
+            more.push("WWW-Authenticate: Bearer".into());
+        }
+        let mut out = Vec::with_capacity(answer.body.len() + 256);
+        http::head(&mut out, answer.status, answer.body.len() as u64, keep_alive, &more);
+        out.extend_from_slice(answer.body.as_bytes());
+        if let Some(line) = self.lines.get(key) {
+            line.write(&out);
+            line.flush();
+        }
+    }
+
+    /// The answer on this connection is written, or waits in its buffer: on to the next request, or leave.
+    pub(crate) fn answered(&mut self, key: Key) {
+        let now = self.now();
+        let limits = &self.rundown.limits;
+        let (idle, slow, rate) = (limits.idle_ms, limits.slow_reader_ms, limits.slow_reader_kb);
+        let Some(line) = self.lines.get(key) else { return };
+        let pending = line.pending();
+        let leaving = !line.keep_alive;
+        if !line.input.is_empty() {
+            self.woken.push(key);
+        }
+        line.role = Role::Player(if leaving { Doing::Leaving } else { Doing::Reading });
+        if leaving && pending == 0 {
+            line.shut();
+        }
+        let due = match (pending, leaving) {
+            (0, true) => now + LEAVE,
+            (0, false) => now + idle,
+            _ => now + slow + pending as f64 / rate,
+        };
+        self.set_due(key, due);
+    }
+
+    pub(crate) fn wait_for(&mut self, key: Key, play: u64) {
+        if let Some(line) = self.lines.get(key) {
+            line.role = Role::Player(Doing::Waiting(play));
+            line.due = f64::INFINITY;
+        }
+    }
+
+    pub(crate) fn player_gone(&mut self, key: Key) {
+        let now = self.now();
+        let Some(Role::Player(doing)) = self.lines.close(key) else { return };
+        self.players -= 1;
+        match doing {
+            Doing::Waiting(play) if self.book.gone(now, play, key) => self.session_clock(play),
+            Doing::Fetching(play) => {
+                if let Some(session) = self.book.get_mut(play) {
+                    session.fetching = session.fetching.saturating_sub(1);
+                }
+                if let Some(line) = self.fetchers.remove(&key) {
+                    self.drop_errands_line(line);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The play that a pass opens, if it runs here.
+    pub(crate) fn playing(&self, pass: &str) -> Result<u64, Final> {
+        let pass = self.pass_keys.pass(pass, (self.now() / 1000.0) as u64);
+        let pass = pass.map_err(|fault| words(fault.status(), &fault.to_string()))?;
+        let gone = || words(410, "this session does not play here");
+        let play = self.book.by_id(&pass.sid).ok_or_else(gone)?;
+        let session = self.book.get(play).ok_or_else(gone)?;
+        match &session.stage {
+            Life::Playing(_) => {}
+            Life::Over(answer) if answer.status == 410 => return Err(answer.clone()),
+            _ => return Err(gone()),
+        }
+        let title = &session.show;
+        if (title.product.as_str(), title.name.as_str()) != (pass.product.as_str(), pass.title.as_str()) {
+            return Err(words(403, "token is for another title or product"));
+        }
+        Ok(play)
+    }
+
+    pub(crate) fn manifest_of(&self, play: u64) -> Option<Final> {
+        let session = self.book.get(play)?;
+        let title = &session.show;
+        let product = &self.rundown.products[session.product];
+        let last = self.rundown.ladder.len() - 1;
+        let top = session.top.min(product.top.unwrap_or(last)).min(last).max(product.floor);
+        // The session may play to its end, and be silent now and then.
+        let runs = title.duration_ms as f64 * 2.0 + self.rundown.limits.play_idle_ms;
+        let pass = Pass {
+            sid: session.id.clone(),
+            product: product.name.clone(),
+            title: title.name.clone(),
+            exp: ((self.now() + runs) / 1000.0).ceil() as u64,
+        };
+        let presentation = Presentation {
+            title: title.name.clone(),
+            base: address::base(&self.pass_keys.sign(&pass)),
+            duration_ms: title.duration_ms,
+            segment_ms: title.segment_ms,
+            ladder: self.rundown.ladder[..=top].iter().map(|r| r.rate_kb * product.scale).collect(),
+        };
+        Some(Final { status: 200, body: presentation.write().into(), retry_after: None })
+    }
+
+    /// The play is over: whoever waits gets the answer, and the play its line in the log.
+    pub(crate) fn over(&mut self, play: u64, cause: &'static str, answer: Final) {
+        let now = self.now();
+        let Some(session) = self.book.get(play) else { return };
+        let played = if session.started > 0.0 { now - session.started } else { 0.0 };
+        let set_up = if session.started > 0.0 { session.started - session.came } else { 0.0 };
+        info!(
+            target: "play",
+            play,
+            cause,
+            answer = if session.started > 0.0 { 200 } else { answer.status },
+            product = self.rundown.products[session.product].name,
+            title = session.show.name,
+            server = session.server.map_or("", |s| self.name(s)),
+            rung = session.rung,
+            allocations = session.allocations,
+            set_up_ms = set_up,
+            played_ms = played,
+        );
+        for key in self.book.over(now, play, answer.clone()) {
+            self.answer(key, &answer);
+        }
+        self.session_clock(play);
+    }
+
+    pub(crate) fn idle_of(&self, play: u64) -> f64 {
+        let linger = self.book.get(play).filter(|s| s.complete);
+        match linger {
+            // The last segment may be asked for once more.
+            Some(session) => session.show.segment_ms as f64,
+            None => self.rundown.limits.play_idle_ms,
+        }
+    }
+
+    pub(crate) fn session_clock(&mut self, play: u64) {
+        let idle = self.idle_of(play);
+        if let Some(due) = self.book.due(play, idle, self.rundown.limits.come_back_ms) {
+            self.clock(due, Clock::Session(play));
+        }
+    }
+
+    // ---- servers ----
+
+    pub(crate) fn request_to(&self, server: u32, method: &str, target: &str, body: &str) -> Vec<u8> {
+        let address = self.servers[server as usize].address;
+        let length =
+            if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        format!("{method} {target} HTTP/1.1\r\nHost: {address}\r\n{length}\r\n{body}").into_bytes()
+    }
+
+    pub(crate) fn dial(&mut self, server: u32, role: Role) -> io::Result<Key> {
+        let address = self.servers[server as usize].address;
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            // Under way (EINPROGRESS).
+            Err(e) if e.raw_os_error() == Some(115) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        self.lines.open(TcpStream::from(socket), role)
+    }
+
+    /// Has the errand run on an idle connection, a new one, or once one comes free.
+    pub(crate) fn run_errand(&mut self, server: u32, errand: Errand) {
+        let at = &mut self.servers[server as usize];
+        if let Some(key) = at.idle.pop() {
+            self.errands_out += 1;
+            return self.begin(key, errand);
+        }
+        let limits = &self.rundown.limits;
+        if at.lines >= limits.server_connections {
+            if at.queue.len() < limits.server_queue {
+                self.errands_out += 1;
+                return at.queue.push_back(errand);
+            }
+            return self.errand_lost(&errand.what, "too many requests wait for the server");
+        }
+        self.errands_out += 1;
+        self.on_new_line(server, errand);
+    }
+
+    pub(crate) fn on_new_line(&mut self, server: u32, errand: Errand) {
+        match self.dial(server, Role::Errands { server, errand: None, fresh: true }) {
+            Ok(key) => {
+                self.servers[server as usize].lines += 1;
+                self.begin(key, errand);
+            }
+            Err(e) => {
+                self.errands_out -= 1;
+                self.errand_lost(&errand.what, &format!("server can't be reached: {e}"));
+            }
+        }
+    }
+
+    pub(crate) fn begin(&mut self, key: Key, it: Errand) {
+        if let What::Segment { player, .. } = it.what {
+            self.fetchers.insert(player, key);
+        }
+        let due = self.now() + self.rundown.limits.segment_ms;
+        if let Some(line) = self.lines.get(key)
+            && let Role::Errands { errand, .. } = &mut line.role
+        {
+            let request = it.request.clone();
+            *errand = Some(it);
+            line.write(&request);
+            line.flush();
+        }
+        self.set_due(key, due);
+    }
+
+    pub(crate) fn next_errand(&mut self, server: u32) {
+        self.errands_out = self.errands_out.saturating_sub(1);
+        while let Some(errand) = self.servers[server as usize].queue.pop_front() {
+            self.errands_out -= 1;
+            self.run_errand(server, errand);
+            if self.servers[server as usize].lines > 0 {
+                return;
+            }
+        }
+    }
+
+    /// Closes a pooled connection; an errand that it is on is no longer wanted.
+    pub(crate) fn drop_errands_line(&mut self, key: Key) {
+        if let Some(Role::Errands { server, errand, .. }) = self.lines.close(key) {
+            let at = &mut self.servers[server as usize];
+            at.lines -= 1;
+            at.idle.retain(|k| *k != key);
+            if errand.is_some() {
+                self.next_errand(server);
+            }
+        }
+    }
+
+    /// The errand got no answer. One that was sent on a connection the server had closed meanwhile is run
+    /// again on a new one; asking for a segment twice harms nobody.
+    pub(crate) fn errand_failed(&mut self, key: Key, why: &str) {
+        let Some(Role::Errands { server, errand, fresh }) = self.lines.close(key) else { return };
+        self.servers[server as usize].lines -= 1;
+        self.servers[server as usize].idle.retain(|k| *k != key);
+        let Some(errand) = errand else { return };
+        if !fresh && errand.left.is_none() && why == "connection broken" {
+            return self.on_new_line(server, errand);
+        }
+        debug!(target: "server", server = self.name(server), what = ?errand.what, why, "errand failed");
+        let begun = errand.left.is_some();
+        match errand.what {
+            What::Segment { player, .. } if begun => self.player_cut(player),
+            _ => self.errand_lost(&errand.what, why),
+        }
+        self.next_errand(server);
+    }
+
+    /// A segment that broke off in the middle: its connection is closed, so that the player sees it is short.
+    pub(crate) fn player_cut(&mut self, player: Key) {
+        self.fetchers.remove(&player);
+        self.player_gone(player);
+    }
+
+    pub(crate) fn errand_lost(&mut self, what: &What, why: &str) {
+        if let What::Segment { player, play, .. } = what {
+            let status = if why == "no answer in time" { 504 } else { 502 };
+            self.segment_answer(*player, *play, &Final { retry_after: None, ..words(status, why) });
+        }
+    }
+
+    pub(crate) fn segment_refused(&mut self, player: Key, play: u64, status: u16) {
+        let answer = match status {
+            503 | 429 => self.away("the media server is busy"),
+            _ => words(502, "the media server has not got it"),
+        };
+        self.segment_answer(player, play, &answer);
+    }
+
+    pub(crate) fn segment_answer(&mut self, player: Key, play: u64, answer: &Final) {
+        self.fetchers.remove(&player);
+        // A player that is gone was counted off when it went.
+        if self.lines.get(player).is_none() {
+            return;
+        }
+        if let Some(session) = self.book.get_mut(play) {
+            session.fetching = session.fetching.saturating_sub(1);
+        }
+        self.answer(player, answer);
+    }
+
+    pub(crate) fn segment_head(&mut self, player: Key, play: u64, length: u64) {
+        let Some(session) = self.book.get(play) else { return };
+        let product = &self.rundown.products[session.product];
+        let kbps = (self.rundown.ladder[session.rung].rate_kb * product.scale * 8.0).ceil() as u64;
+        // CTA-5006: the maximum suggested bitrate, kbit/s.
+        let more =
+            ["Content-Type: video/mp4".to_string(), format!("CMSD-Dynamic: \"pulleystair\";mb={kbps}")];
+        let limits = &self.rundown.limits;
+        let due = self.now() + limits.slow_reader_ms + length as f64 / limits.slow_reader_kb;
+        let Some(line) = self.lines.get(player) else { return };
+        let mut out = Vec::new();
+        http::head(&mut out, 200, length, line.keep_alive, &more);
+        line.write(&out);
+        self.set_due(player, due);
+    }
+}
+
+impl Hands for Floor {
+    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
+        let now = self.now();
+        let Some(session) = self.book.get_mut(play) else { return };
+        session.server = Some(server);
+        session.rung = rung;
+        session.allocations += 1;
+        let (n, product) = (session.allocations, session.product);
+        let body = serde_json::json!({
+            "title": session.show.name,
+            "product": self.rundown.products[product].name,
+            "rung": rung,
+            "session": session.id,
+        });
+        let target = format!("/plays/{}-{play}-{n}", self.run);
+        let request = self.request_to(server, "POST", &target, &body.to_string());
+        match self.dial(server, Role::Allocation { play, server, stage: Stage::Asked }) {
+            Ok(key) => {
+                if let Some(line) = self.lines.get(key) {
+                    line.write(&request);
+                    line.flush();
+                }
+                if let Some(session) = self.book.get_mut(play) {
+                    session.line = Some(key);
+                }
+                self.set_due(key, now + self.rundown.limits.dial_ms);
+                self.clock(now + time_out, Clock::TimeOut(play, n));
+            }
+            Err(e) => {
+                debug!(target: "server", server = self.name(server), "not reached: {e}");
+                self.news.push_back(News { play, server, outcome: Outcome::Unreachable });
+            }
+        }
+    }
+
+    fn withdraw(&mut self, play: u64) {
+        let Some(server) = self.book.get(play).and_then(|s| s.server) else { return };
+        self.news.push_back(News { play, server, outcome: Outcome::Withdrawn });
+    }
+
+    fn step(&mut self, play: u64, rung: usize) {
+        let Some(session) = self.book.get_mut(play) else { return };
+        session.rung = rung;
+        let (Life::Playing(_), Some(server), n) = (&session.stage, session.server, session.allocations)
+        else {
+            return;
+        };
+        let target = format!("/plays/{}-{play}-{n}", self.run);
+        let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
+        self.run_errand(server, Errand { what: What::Word, request, left: None, last: false });
+    }
+
+    fn probe(&mut self, server: u32) {
+        let request = self.request_to(server, "GET", "/load", "");
+        self.run_errand(server, Errand { what: What::Probe, request, left: None, last: false });
+    }
+
+    fn declined(&mut self, play: u64, pause: f64) {
+        let mut answer = words(503, "no room for this play now");
+        if pause > 0.0 {
+            answer.retry_after = Some((pause / 1000.0).ceil() as u64);
+        }
+        self.over(play, "declined", answer);
+    }
+
+    fn failed(&mut self, play: u64) {
+        let late = self.book.get(play).is_some_and(|s| self.now() >= s.limit - 5.0);
+        let answer = if late {
+            words(504, "the play could not be set up in time")
+        } else {
+            words(502, "the play could not be set up")
+        };
+        self.over(play, "failed", answer);
+    }
+
+    fn wake(&mut self, mark: u32, wait: f64) {
+        self.clock(self.now() + wait, Clock::Desk(mark));
+    }
+
+    /// The list comes unasked, from its file.
+    fn follow(&mut self) {}
+}
+
+/// The figures of a load report that the decisions know: `named_metrics` link, uplink and streams, or the
+/// capped `utilization.link`.
+pub(crate) fn figures(load: Option<&str>) -> Vec<Figure> {
+    let Some(load) = load else { return Vec::new() };
+    let report = match pulleystair_orca::read(load) {
+        Ok(report) => report,
+        Err(e) => {
+            debug!(target: "server", "{e}");
+            return Vec::new();
+        }
+    };
+    let named = |name: &str| report.named_metrics.get(name).copied();
+    let link = match (named("link"), report.utilization.get("link")) {
+        (Some(x), _) => Some(Figure::Link(x)),
+        (None, Some(x)) => Some(Figure::LinkCapped(*x)),
+        (None, None) => None,
+    };
+    let others = [named("uplink").map(Figure::Uplink), named("streams").map(Figure::Streams)];
+    link.into_iter().chain(others.into_iter().flatten()).collect()
+}
+
+/// A line of notes: a JSON object with `delivered`, `link` and `uplink`, each where the server has it.
+pub(crate) fn note_figures(line: &[u8]) -> Option<Vec<Figure>> {
+    let note: HashMap<String, f64> = serde_json::from_slice(line).ok()?;
+    let of = |name: &str, figure: fn(f64) -> Figure| note.get(name).copied().map(figure);
+    let all = [of("delivered", Figure::Delivered), of("link", Figure::Link), of("uplink", Figure::Uplink)];
+    Some(all.into_iter().flatten().collect())
+}
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -4,6 +4,7 @@
 //! A session is asked for, then plays or not, then is over; it is answered once, and whoever asks again with
 //! the same session within `remember` gets that same answer.
 
+use crate::listing::Title;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -29,7 +30,9 @@
     pub id: String,
     pub viewer: String,
     pub product: usize,
+    /// The title's number, and what the list said of it when the play was asked for.
     pub title: usize,
+    pub show: Rc<Title>,
     pub top: usize,
     pub came: f64,
     pub limit: f64,
@@ -73,6 +76,7 @@
     pub viewer: &'a str,
     pub product: usize,
     pub title: usize,
+    pub show: &'a Rc<Title>,
     pub top: usize,
     pub limit: f64,
 }
@@ -167,6 +171,7 @@
             viewer: it.viewer.to_string(),
             product: it.product,
             title: it.title,
+            show: it.show.clone(),
             top: it.top,
             came: now,
             limit: it.limit,
@@ -250,8 +255,19 @@
 
     const BOUNDS: Bounds = Bounds { deciding: 2, plays: 3, sessions: 4, waiters: 2, remember: 100.0 };
 
+    thread_local! {
+        static SHOW: &'static Rc<Title> = Box::leak(Box::new(Rc::new(Title {
+            name: "t".into(),
+            product: "p".into(),
+            first_cell: 0,
+            holders: 1,
+            duration_ms: 1000,
+            segment_ms: 1000,
+        })));
+    }
+
     fn request(id: &str) -> Request<'_> {
-        Request { id, viewer: "v", product: 0, title: 0, top: 1, limit: 1000.0 }
+        Request { id, viewer: "v", product: 0, title: 0, show: SHOW.with(|s| *s), top: 1, limit: 1000.0 }
     }
 
     fn answer(status: u16) -> Final {
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -265,6 +265,30 @@
     house.kept();
 }
 
+#[tokio::test]
+async fn a_list_whose_titles_change_places_leaves_plays_with_theirs() {
+    let house = House::open().await;
+    let manifest = house.ask("s", FREE).await;
+    let file = house.folder().join("list.json");
+    let mut list: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&file).unwrap()).expect("the list reads");
+    // The title that plays is gone, the other one stands in its place.
+    list["titles"].as_array_mut().unwrap().remove(FREE);
+    std::fs::write(&file, list.to_string()).expect("the list is written");
+    house
+        .until_true("the front has read the list", || {
+            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            log.matches("list taken").count() >= 2
+        })
+        .await;
+    let segment = house.get(&format!("{}0/2.m4s", base(&manifest))).await;
+    assert_eq!(content::read(&segment.body).expect("a segment").title, house.titles[FREE].name);
+    assert_eq!(house.ask("s", FREE).await.body, manifest.body, "asked again: the same play");
+    assert_eq!(house.get(&house.manifest("new", FREE)).await.status, 404);
+    assert_eq!(house.ask("p", PAID).await.status, 200);
+    house.kept();
+}
+
 #[tokio::test]
 async fn a_thousand_requests_at_once_against_a_limit_of_two_hundred() {
     let mut day = patient();
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -1,6 +1,6 @@
 //! A front to measure against, in the lab only: it draws each play's holder evenly from those listed as ready,
-//! plays on the lowest rung that the product allows, and tries again elsewhere as the product permits. It keeps
-//! the drain rule by the list, and knows nothing of room, cold servers, seats or budgets.
+//! plays on the lowest rung that the product allows, and tries again elsewhere as the product permits. It reads
+//! the list once a play, and knows nothing of drains since, of room, cold servers, seats or budgets.
 
 use crate::stage::ms;
 use anyhow::{Context, Result};
