--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -136,7 +136,7 @@
         let load = world.told(self.log.now(), server, world.ground.reports_late_ms);
         let Load { link, uplink, streams, .. } = load;
         // Half the servers speak each published form.
-        if server % 2 == 0 {
+        if server.is_multiple_of(2) {
             let named = serde_json::json!({ "link": link, "uplink": uplink, "streams": streams });
             format!("endpoint-load-metrics: JSON {}", serde_json::json!({ "named_metrics": named }))
         } else {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod players;
 pub mod report;
 pub mod script;
+pub mod set;
 pub mod stage;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,9 +2,11 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
-use pulleystair_lab::fronts::Program;
+use pulleystair_dash::{address, token::Entry};
+use pulleystair_lab::fronts::{Program, portal};
+use pulleystair_lab::set::Set;
 use pulleystair_lab::{baseline, day, load, report, script::Day};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -42,6 +44,12 @@
         #[arg(long)]
         edge: Option<PathBuf>,
     },
+    /// Run a day's stand-in servers alone, with all that a front needs to be tried by hand
+    Boxes {
+        script: PathBuf,
+        #[arg(long, default_value = "found/boxes")]
+        out: PathBuf,
+    },
     /// Be a baseline front, as `day --baseline` starts them
     #[command(hide = true)]
     Baseline { rundown: PathBuf },
@@ -56,6 +64,27 @@
         .context("there is no pulleystair-edge beside this program: build the workspace")
 }
 
+/// Servers until interrupted, and a way in for each product's first title.
+async fn boxes(day: Day, out: &Path) -> Result<()> {
+    let set = Set::build(day, Program::edge(PathBuf::new()), out).await?;
+    println!("{} servers run; list, keys and rundowns are in {}", set.day.fleet.servers, out.display());
+    println!("a front: pulleystair-edge run {}", out.join("front-0.json").display());
+    println!("then, with its address in place of FRONT, within the hour:");
+    for (product, of) in set.day.products.iter().enumerate() {
+        let Some(title) = set.titles.iter().find(|t| t.product == product) else { continue };
+        let entry = portal().sign(&Entry {
+            jti: format!("by-hand-{product}"),
+            sub: "by-hand".into(),
+            product: of.name.clone(),
+            title: title.name.clone(),
+            top: set.day.ladder.len() - 1,
+            exp: (set.log.now() / 1000.0) as u64 + 3600,
+        });
+        println!("  http://FRONT{}", address::manifest(&of.name, &title.name, &entry));
+    }
+    Ok(tokio::signal::ctrl_c().await?)
+}
+
 fn run(command: Command) -> Result<bool> {
     match command.job {
         Job::Day { script, seed, out, edge, baseline } => {
@@ -85,6 +114,11 @@
             std::fs::write(out.join("load.json"), serde_json::to_string_pretty(&costs)?)?;
             Ok(true)
         }
+        Job::Boxes { script, out } => {
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+            runtime.block_on(boxes(Day::read(&script)?, &out))?;
+            Ok(true)
+        }
         Job::Baseline { rundown } => {
             tokio::runtime::Runtime::new()?.block_on(baseline::run(&rundown))?;
             Ok(true)
--- /dev/null
+++ b/crates/lab/src/set.rs
@@ -0,0 +1,52 @@
+//! The set of a day: its stand-in servers, its list and its fronts, built but not yet started.
+
+use crate::fronts::{Fronts, Program};
+use crate::script::Day;
+use crate::stage::{Stage, Title, titles};
+use anyhow::{Context, Result};
+use pulleystair_boxes::log::Log;
+use pulleystair_boxes::server::{self, Boxes};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+pub struct Set {
+    pub day: Arc<Day>,
+    pub titles: Arc<Vec<Title>>,
+    pub boxes: Boxes,
+    pub fronts: Fronts,
+    pub stage: Stage,
+    pub log: Log,
+}
+
+impl Set {
+    /// Starts the servers, and writes list, keys and rundowns into the folder.
+    pub async fn build(day: Day, program: Program, folder: &Path) -> Result<Set> {
+        std::fs::create_dir_all(folder).with_context(|| format!("{} can't be made", folder.display()))?;
+        let (day, log) = (Arc::new(day), Log::default());
+        let titles = Arc::new(titles(&day));
+        let known = titles.iter().map(|t| {
+            let product = &day.products[t.product];
+            let title = server::Title { live: product.live, segment_ms: t.segment_ms, scale: product.scale };
+            (t.name.clone(), title)
+        });
+        let products = day.products.iter().map(|p| p.name.clone()).collect();
+        let boxes =
+            Boxes::start(day.ground(), day.builds(), known.collect(), products, day.seed, log.clone())
+                .await?;
+        let fronts = Fronts::new(&day, program, folder, log.clone())?;
+        let list = folder.join("list.json");
+        let stage =
+            Stage::new(day.clone(), titles.clone(), boxes.clone(), fronts.clone(), log.clone(), list)?;
+        Ok(Set { day, titles, boxes, fronts, stage, log })
+    }
+
+    /// Starts all fronts; where each listens.
+    pub async fn start(&self) -> Result<Vec<SocketAddr>> {
+        let mut at = Vec::new();
+        for front in 0..self.day.fronts {
+            at.push(self.fronts.start(front).await?);
+        }
+        Ok(at)
+    }
+}
