Decide admission apart from sockets: adaptive limit, queue under a crowd, budgets for reads

Under a crowd a fixed limit of plays being decided either starves the fleet or lets everyone be answered late, and repeated reads bury a server that is sick. crates/admission decides both without I/O: a gradient limit on measured set-up delay, a queue that takes the newest first once the oldest has waited too long and tells at once whoever can't be answered, and a budget for further tries of segments' reads with resumption where a body broke off. Not yet used by the front.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,10 @@
+//! How much work a front takes on, decided apart from sockets and clocks: callers hand in the time, ms.
+//!
+//! [`limit`] adapts how many plays may be decided at once to measured set-up delay; [`queue`] chooses who of
+//! those that wait is taken next and who is told at once that there is no time left; [`reads`] decides what
+//! becomes of a segment's read that failed, within a budget that keeps a sick server from being buried by its
+//! own repeats. Where a play goes, and every allocation of it, stays with the placing module.
+
+pub mod limit;
+pub mod queue;
+pub mod reads;
--- /dev/null
+++ b/crates/admission/src/limit.rs
@@ -0,0 +1,151 @@
+//! How many plays may be decided at once. The delay of set-ups tells whether servers keep up: while it stays
+//! near what it is without a crowd the limit grows, and it shrinks as the delay does more.
+//!
+//! The gradient form: the limit is scaled by undisturbed delay over present delay, with room for a small queue.
+//! Against additive increase and multiplicative decrease it settles near the capacity instead of sawing, and it
+//! reacts to how much delay grew and not only that it did; see `docs/notes/dash-path.md`.
+
+/// Bounds and pace of a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub least: f64,
+    pub most: f64,
+    /// Delay may grow by this factor before the limit gives way.
+    pub tolerance: f64,
+    /// So many outcomes make a sample.
+    pub sample: usize,
+}
+
+/// Part by which a sample moves the limit.
+const SMOOTH: f64 = 0.2;
+/// Undisturbed delay follows lower samples at once and higher ones by this part: a fleet may grow slower for good.
+const DRIFT: f64 = 0.002;
+/// A sample halves the limit at most.
+const HALF: f64 = 0.5;
+
+#[derive(Clone, Debug)]
+pub struct Limit {
+    terms: Terms,
+    limit: f64,
+    /// Delay without a crowd, ms, once known.
+    undisturbed: Option<f64>,
+    sum: f64,
+    count: usize,
+    /// The most that was in hand while the sample was taken, and whether anything was lost for lack of time.
+    in_hand: usize,
+    lost: usize,
+}
+
+impl Limit {
+    pub fn new(terms: Terms) -> Limit {
+        // Begins in the middle of what it may be: a front that starts into a crowd must not open wide.
+        let limit = (terms.least * terms.most).sqrt().clamp(terms.least, terms.most);
+        Limit { terms, limit, undisturbed: None, sum: 0.0, count: 0, in_hand: 0, lost: 0 }
+    }
+
+    pub fn now(&self) -> usize {
+        self.limit.floor().max(1.0) as usize
+    }
+
+    /// A play was set up after this delay, with so many in hand.
+    pub fn set_up(&mut self, delay: f64, in_hand: usize) {
+        if delay.is_finite() && delay >= 0.0 {
+            self.sum += delay.max(0.1);
+            self.seen(in_hand);
+        }
+    }
+
+    /// A play was lost for lack of time: it says as much as a long delay, without telling how long.
+    pub fn lost(&mut self, in_hand: usize) {
+        self.lost += 1;
+        self.seen(in_hand);
+    }
+
+    fn seen(&mut self, in_hand: usize) {
+        self.count += 1;
+        self.in_hand = self.in_hand.max(in_hand);
+        if self.count >= self.terms.sample {
+            self.sampled();
+        }
+    }
+
+    fn sampled(&mut self) {
+        let good = self.count - self.lost;
+        let lost = self.lost as f64 / self.count as f64;
+        let gradient = if good == 0 {
+            HALF
+        } else {
+            let delay = self.sum / good as f64;
+            let base = match self.undisturbed {
+                Some(base) if delay > base => base + DRIFT * (delay - base),
+                _ => delay,
+            };
+            self.undisturbed = Some(base);
+            (self.terms.tolerance * base / delay * (1.0 - lost)).clamp(HALF, 1.0)
+        };
+        let queue = self.limit.sqrt();
+        let wanted = self.limit * gradient + queue;
+        // A limit that nothing presses on says nothing about capacity: it may fall, not rise.
+        if wanted < self.limit || self.in_hand as f64 * 2.0 > self.limit {
+            self.limit += SMOOTH * (wanted - self.limit);
+        }
+        self.limit = self.limit.clamp(self.terms.least, self.terms.most);
+        (self.sum, self.count, self.in_hand, self.lost) = (0.0, 0, 0, 0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERMS: Terms = Terms { least: 4.0, most: 1000.0, tolerance: 1.5, sample: 10 };
+
+    /// A fleet that sets up so many at once in 20 ms, and queues what is more.
+    fn delay(in_hand: usize, capacity: usize) -> f64 {
+        20.0 * (in_hand as f64 / capacity as f64).max(1.0)
+    }
+
+    fn run(limit: &mut Limit, capacity: usize, offered: usize, outcomes: usize) {
+        for _ in 0..outcomes {
+            let in_hand = limit.now().min(offered);
+            limit.set_up(delay(in_hand, capacity), in_hand);
+        }
+    }
+
+    #[test]
+    fn it_settles_near_what_the_fleet_carries_and_follows_it() {
+        let mut limit = Limit::new(TERMS);
+        run(&mut limit, 1000, 10, 100);
+        run(&mut limit, 100, 5000, 3000);
+        assert!((100..260).contains(&limit.now()), "{}", limit.now());
+        run(&mut limit, 20, 5000, 3000);
+        assert!((20..80).contains(&limit.now()), "{}", limit.now());
+        run(&mut limit, 400, 5000, 6000);
+        assert!(limit.now() > 300, "{}", limit.now());
+    }
+
+    #[test]
+    fn what_is_lost_brings_it_down_and_it_stays_within_bounds() {
+        let mut limit = Limit::new(TERMS);
+        (0..2000).for_each(|_| limit.lost(limit.clone().now()));
+        // The small queue keeps a trickle going, by which a fleet that is back is found.
+        assert!((4..=10).contains(&limit.now()), "{}", limit.now());
+        run(&mut limit, 100_000, 100_000, 50_000);
+        assert_eq!(limit.now(), 1000);
+    }
+
+    #[test]
+    fn a_quiet_hour_does_not_open_it() {
+        let mut limit = Limit::new(TERMS);
+        let before = limit.now();
+        run(&mut limit, 1000, 3, 10_000);
+        assert!(limit.now() <= before);
+    }
+
+    #[test]
+    fn nonsense_is_passed_over() {
+        let mut limit = Limit::new(TERMS);
+        [f64::NAN, f64::INFINITY, -1.0].iter().for_each(|d| (0..100).for_each(|_| limit.set_up(*d, 9)));
+        assert_eq!(limit.now(), Limit::new(TERMS).now());
+    }
+}
