Take segments up where they broke off, within a budget for each server's repeats

A server that dropped a segment half-way cost the player its connection, and nothing bounded repeats. Reads of segments now go on by Range on the same play, decided in crates/admission: tries, the player's patience and a budget over a span at each server. Truncated, over-long, wrong-length, stalled, unreachable and stale are told apart; a body that does not fit what was given is never joined on. Players may ask for parts themselves (206, 416).

--- a/crates/admission/src/reads.rs
+++ b/crates/admission/src/reads.rs
@@ -101,6 +101,8 @@
             (None, Fault::Stalled) => Next::Answer(504),
             // What the server does not have, no other try will find.
             (None, Fault::Status(404 | 410)) => return Next::Answer(502),
+            // The part that was asked for lies beyond its end (RFC 9110, section 15.5.17).
+            (None, Fault::Status(416)) => return Next::Answer(416),
             (None, Fault::Status(429 | 503)) => return Next::Answer(503),
             (None, _) => Next::Answer(502),
         };
@@ -136,6 +138,7 @@
     #[test_case(Fault::Status(500), None, Next::Again { from: 0 }; "a server's error")]
     #[test_case(Fault::Status(404), None, Next::Answer(502); "not there")]
     #[test_case(Fault::Status(503), None, Next::Answer(503); "busy: not asked again at once")]
+    #[test_case(Fault::Status(416), None, Next::Answer(416); "a part beyond its end")]
     #[test_case(Fault::Length, Some(700), Next::Cut; "another body can't be joined on")]
     #[test_case(Fault::Length, None, Next::Again { from: 0 }; "a wrong length before a byte went out")]
     fn a_first_failure(fault: Fault, given: Option<u64>, next: Next) {
--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -190,7 +190,11 @@
             }
             ("GET", ["load"]) => peer.write(&shared.answer(server, 200)).await?,
             ("GET", ["plays", name, rung, number]) => {
-                segment(shared, server, &mut peer, name, rung.parse().ok(), number.parse().ok()).await?;
+                let part = request.header("range").and_then(range);
+                let (rung, number) = (rung.parse().ok(), number.parse().ok());
+                if !segment(shared, server, &mut peer, name, rung, number, part).await? {
+                    return Ok(());
+                }
             }
             ("PATCH", ["plays", name]) => {
                 let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
@@ -420,8 +424,15 @@
     200
 }
 
+/// `bytes=FIRST-` or `bytes=FIRST-LAST`.
+fn range(value: &str) -> Option<(usize, usize)> {
+    let (first, last) = value.strip_prefix("bytes=")?.split_once('-')?;
+    let last = if last.is_empty() { usize::MAX } else { last.parse().ok()? };
+    Some((first.parse().ok()?, last))
+}
+
 /// Sends a segment no faster than the play's share of the link lets it come: a fourfold rate where there is
-/// room, less than its rate where link or uplink are over-asked.
+/// room, less than its rate where link or uplink are over-asked. False where the connection is to be closed.
 async fn segment(
     shared: &Arc<Shared>,
     server: usize,
@@ -429,22 +440,45 @@
     name: &str,
     rung: Option<usize>,
     number: Option<u64>,
-) -> io::Result<()> {
-    let found = {
+    part: Option<(usize, usize)>,
+) -> io::Result<bool> {
+    let (found, ails) = {
         let world = shared.world();
         let play = world.servers[server].plays.get(name).filter(|p| p.plays);
-        play.zip(rung.filter(|r| *r < world.ground.ladder.len())).zip(number).map(|((play, rung), number)| {
-            (play.title.clone(), rung, number, world.ground.ladder[rung] * play.factor)
-        })
+        let found = play.zip(rung.filter(|r| *r < world.ground.ladder.len())).zip(number).map(
+            |((play, rung), number)| {
+                (play.title.clone(), rung, number, world.ground.ladder[rung] * play.factor)
+            },
+        );
+        (found, world.servers[server].ails.clone())
     };
     let Some((title, rung, number, kb)) = found else {
-        return peer.write(&shared.answer(server, 404)).await;
+        peer.write(&shared.answer(server, 404)).await?;
+        return Ok(true);
     };
     let segment_ms = shared.titles.get(&title).map_or(1000, |t| t.segment_ms);
     let length = if number == 0 { 600 } else { (kb * segment_ms as f64) as usize };
-    let body = content::make(&title, rung, number, length);
-    peer.write(shared.head(server, 200, body.len()).as_bytes()).await?;
-    for part in body.chunks(32 << 10) {
+    let whole = content::make(&title, rung, number, length);
+    let part = part.filter(|_| shared.dice() >= ails.no_ranges);
+    let (first, last) = part.map_or((0, whole.len() - 1), |(first, last)| (first, last.min(whole.len() - 1)));
+    if first > last {
+        peer.write(&shared.answer(server, 416)).await?;
+        return Ok(true);
+    }
+    let body = &whole[first..=last];
+    let head = match part {
+        None => shared.head(server, 200, body.len()),
+        Some(_) => shared.head(server, 206, body.len()).replacen(
+            "\r\n",
+            &format!("\r\nContent-Range: bytes {first}-{last}/{}\r\n", whole.len()),
+            1,
+        ),
+    };
+    peer.write(head.as_bytes()).await?;
+    let dice = shared.dice();
+    let (cut, stall) = (dice < ails.cut, dice >= ails.cut && dice < ails.cut + ails.stall);
+    let sent = if cut || stall { &body[..body.len() / 2] } else { body };
+    for part in sent.chunks(32 << 10) {
         let load = shared.world().load(server);
         let pace = if load.delivered < 1.0 { load.delivered } else { 4.0 };
         let ms = part.len() as f64 / (kb * pace);
@@ -454,5 +488,10 @@
         }
         peer.write(part).await?;
     }
-    Ok(())
+    if stall {
+        peer.gone().await;
+    } else if !cut && shared.dice() < ails.over_long {
+        peer.write(b"more than was told").await?;
+    }
+    Ok(!cut && !stall)
 }
--- a/crates/boxes/src/world.rs
+++ b/crates/boxes/src/world.rs
@@ -57,6 +57,12 @@
     pub lost: f64,
     pub reset: f64,
     pub half_heads: f64,
+    /// Parts of segments that break off half-way, stall there, have more bytes than their length, and, where a
+    /// part was asked for, are sent whole.
+    pub cut: f64,
+    pub stall: f64,
+    pub over_long: f64,
+    pub no_ranges: f64,
     /// Work takes so many times as long.
     pub slow: f64,
     /// The link carries this part, less what another program takes.
@@ -77,6 +83,10 @@
             lost: 0.0,
             reset: 0.0,
             half_heads: 0.0,
+            cut: 0.0,
+            stall: 0.0,
+            over_long: 0.0,
+            no_ranges: 0.0,
             slow: 1.0,
             link: 1.0,
             neighbour: 0.0,
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,12 +9,14 @@
 use crate::http::{self, Body};
 use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
 use crate::listing::{Known, List, Watched};
+use crate::reading::Reading;
 use crate::rundown::Rundown;
 use crate::sessions::{Asked, Book, Bounds, Final, Request, Stage as Life};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::reads::{Budget, Fault};
 use pulleystair_dash::address::{self, Address};
 use pulleystair_dash::mpd::segments;
 use pulleystair_desk::{Desk, Wish};
@@ -161,6 +163,7 @@
                     idle: Vec::new(),
                     lines: 0,
                     queue: VecDeque::new(),
+                    budget: Budget::default(),
                 });
             } else if servers[number as usize].address != server.address {
                 servers[number as usize].address = server.address;
@@ -308,7 +311,7 @@
                 }
             }
             ("GET", Some(Address::Segment { pass, rung, number })) => {
-                match self.segment(key, pass, rung, number) {
+                match self.segment(key, pass, rung, number, request.range) {
                     Some(answer) => answer,
                     None => return,
                 }
@@ -374,7 +377,14 @@
     }
 
     /// A request for a segment: its answer, or none while it is fetched.
-    fn segment(&mut self, key: Key, pass: &str, rung: usize, number: u64) -> Option<Final> {
+    fn segment(
+        &mut self,
+        key: Key,
+        pass: &str,
+        rung: usize,
+        number: u64,
+        part: Option<(u64, Option<u64>)>,
+    ) -> Option<Final> {
         let floor = &mut self.floor;
         let now = floor.now();
         let play = match floor.playing(pass) {
@@ -394,9 +404,13 @@
         if let Some(line) = floor.lines.get(key) {
             line.role = Role::Player(Doing::Fetching(play));
         }
-        let request = floor.request_to(server, "GET", &target, "");
-        let errand =
-            Errand { what: What::Segment { player: key, play, number }, request, left: None, last: false };
+        let reads = &floor.rundown.reads;
+        let reading = Reading::new(target, part, now + reads.patience_ms);
+        let terms = reads.terms();
+        floor.servers[server as usize].budget.first(now, &terms);
+        let what = What::Segment { player: key, play, number };
+        let request = floor.request_to(server, "GET", &reading.target, "");
+        let errand = Errand { what, request, reading: Some(reading), left: None, last: false };
         floor.run_errand(server, errand);
         None
     }
@@ -414,7 +428,8 @@
         }
         let target = format!("/plays/{}-{play}-{n}", floor.run);
         let request = floor.request_to(server, "DELETE", &target, "");
-        floor.run_errand(server, Errand { what: What::Word, request, left: None, last: false });
+        floor
+            .run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
         floor.over(play, cause, words(410, "this play has ended"));
         self.desk.ended(now, play, server, Outcome::Finished, true, &[], &mut self.floor);
     }
@@ -593,35 +608,32 @@
                 return;
             };
             if it.left.is_none() {
-                match http::answer(&line.input) {
-                    Ok(None) if ended => return floor.errand_failed(key, "connection broken"),
+                let (answer, used) = match http::answer(&line.input) {
+                    Ok(None) if ended => return floor.errand_failed(key, Fault::Broken),
                     Ok(None) => return,
-                    Err(e) => return floor.errand_failed(key, &e.to_string()),
-                    Ok(Some((answer, used))) => {
-                        line.input.drain(..used);
-                        let Body::Length(length) = answer.body else {
-                            return floor.errand_failed(key, "answer without a length");
-                        };
-                        (it.left, it.last) = (Some(length), !answer.keep_alive);
-                        let what = it.what;
-                        floor.set_due(key, now + floor.rundown.limits.segment_ms);
-                        if let What::Segment { player, play, .. } = what {
-                            if answer.status == 200 {
-                                floor.segment_head(player, play, length);
-                            } else {
-                                floor.segment_refused(player, play, answer.status);
-                                if let Some(line) = floor.lines.get(key)
-                                    && let Role::Errands { errand: Some(it), .. } = &mut line.role
-                                {
-                                    it.what = What::Word;
-                                }
-                            }
-                        }
-                        let load = figures(answer.load.as_deref());
-                        self.desk.report(now, server, &load, &mut self.floor);
-                        continue;
+                    Err(e) => {
+                        warn!(target: "server", server = floor.name(server), "answer not read: {e}");
+                        return floor.errand_failed(key, Fault::Malformed);
                     }
+                    Ok(Some(it)) => it,
+                };
+                line.input.drain(..used);
+                let Body::Length(length) = answer.body else {
+                    return floor.errand_failed(key, Fault::Malformed);
+                };
+                (it.left, it.last) = (Some(length), !answer.keep_alive);
+                let (what, head) = (it.what, it.reading.as_mut().map(|reading| reading.head(&answer)));
+                floor.set_due(key, now + floor.rundown.limits.segment_ms);
+                let load = figures(answer.load.as_deref());
+                match (what, head) {
+                    (What::Segment { player, play, .. }, Some(Ok(Some(head)))) => {
+                        floor.segment_head(player, play, &head);
+                    }
+                    (_, Some(Err(fault))) => floor.errand_failed(key, fault),
+                    _ => {}
                 }
+                self.desk.report(now, server, &load, &mut self.floor);
+                continue;
             }
             let left = it.left.unwrap_or(0);
             let what = it.what;
@@ -639,6 +651,7 @@
                 let full = line.pending() >= relay && !done;
                 if n > 0 {
                     floor.set_due(key, now + floor.rundown.limits.segment_ms);
+                    floor.gave(key, n as u64);
                 }
                 if full {
                     // Read on once the player has taken some; its own clock runs meanwhile.
@@ -654,7 +667,7 @@
                 return self.errand_done(key, server, what);
             }
             if ended {
-                return floor.errand_failed(key, "answer cut short");
+                return floor.errand_failed(key, Fault::Truncated);
             }
             if !came {
                 return;
@@ -667,6 +680,7 @@
         let now = floor.now();
         let mut last = false;
         if let Some(line) = floor.lines.get(key) {
+            // More than its length: that answer was right as far as it went, but the connection is not to be kept.
             last = line.ended || !line.input.is_empty();
             if let Role::Errands { errand, fresh, .. } = &mut line.role {
                 last |= errand.as_ref().is_none_or(|e| e.last);
@@ -755,7 +769,8 @@
             }
             Role::Allocation { .. } => {}
             Role::Errands { errand: None, .. } => floor.drop_errands_line(key),
-            Role::Errands { .. } => floor.errand_failed(key, "no answer in time"),
+            Role::Errands { .. } if connected => floor.errand_failed(key, Fault::Stalled),
+            Role::Errands { .. } => floor.errand_failed(key, Fault::Unreachable),
         }
     }
 
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -5,10 +5,12 @@
 use crate::http;
 use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
 use crate::listing::{Title, Watched};
+use crate::reading::Head;
 use crate::rundown::Rundown;
 use crate::sessions::{Book, Final, Stage as Life};
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::reads::{Budget, Fault, Next};
 use pulleystair_dash::address;
 use pulleystair_dash::mpd::Presentation;
 use pulleystair_dash::token::{Pass, Ring};
@@ -46,6 +48,8 @@
     pub(crate) idle: Vec<Key>,
     pub(crate) lines: usize,
     pub(crate) queue: VecDeque<Errand>,
+    /// Further tries of segments' reads there.
+    pub(crate) budget: Budget,
 }
 
 /// An allocation's end that was found while the desk was busy.
@@ -345,7 +349,7 @@
                 self.errands_out += 1;
                 return at.queue.push_back(errand);
             }
-            return self.errand_lost(&errand.what, "too many requests wait for the server");
+            return self.errand_lost(errand, 503, "too many requests wait for the server");
         }
         self.errands_out += 1;
         self.on_new_line(server, errand);
@@ -358,8 +362,9 @@
                 self.begin(key, errand);
             }
             Err(e) => {
+                debug!(target: "server", server = self.name(server), "not reached: {e}");
                 self.errands_out -= 1;
-                self.errand_lost(&errand.what, &format!("server can't be reached: {e}"));
+                self.errand_lost(errand, 502, "the media server can't be reached");
             }
         }
     }
@@ -372,7 +377,10 @@
         if let Some(line) = self.lines.get(key)
             && let Role::Errands { errand, .. } = &mut line.role
         {
-            let request = it.request.clone();
+            // The range goes before the empty line that ends the head.
+            let range = it.reading.as_ref().map(|r| r.range()).unwrap_or_default();
+            let (head, end) = it.request.split_at(it.request.len() - if range.is_empty() { 0 } else { 2 });
+            let request = [head, range.as_bytes(), end].concat();
             *errand = Some(it);
             line.write(&request);
             line.flush();
@@ -403,42 +411,69 @@
         }
     }
 
-    /// The errand got no answer. One that was sent on a connection the server had closed meanwhile is run
-    /// again on a new one; asking for a segment twice harms nobody.
-    pub(crate) fn errand_failed(&mut self, key: Key, why: &str) {
+    /// The errand got no answer, or not all of it. A segment's read may go on, on a new connection; a word or a
+    /// probe only if it was sent on a connection that the server had closed meanwhile.
+    pub(crate) fn errand_failed(&mut self, key: Key, fault: Fault) {
         let Some(Role::Errands { server, errand, fresh }) = self.lines.close(key) else { return };
-        self.servers[server as usize].lines -= 1;
-        self.servers[server as usize].idle.retain(|k| *k != key);
-        let Some(errand) = errand else { return };
-        if !fresh && errand.left.is_none() && why == "connection broken" {
-            return self.on_new_line(server, errand);
-        }
-        debug!(target: "server", server = self.name(server), what = ?errand.what, why, "errand failed");
+        let now = self.now();
+        let at = &mut self.servers[server as usize];
+        at.lines -= 1;
+        at.idle.retain(|k| *k != key);
+        let Some(mut errand) = errand else { return };
         let begun = errand.left.is_some();
-        match errand.what {
-            What::Segment { player, .. } if begun => self.player_cut(player),
-            _ => self.errand_lost(&errand.what, why),
+        let stale = !fresh && !begun && matches!(fault, Fault::Broken | Fault::Unreachable);
+        let fault = if stale { Fault::Stale } else { fault };
+        let next = match &errand.reading {
+            Some(reading) => at.budget.after(now, &self.rundown.reads.terms(), &reading.so_far(), fault),
+            None if stale => Next::Again { from: 0 },
+            None => Next::Answer(502),
+        };
+        debug!(target: "server", server = self.name(server), what = ?errand.what, ?fault, ?next, "errand failed");
+        match next {
+            Next::Again { .. } => {
+                errand.left = None;
+                if let Some(reading) = errand.reading.as_mut().filter(|_| !stale) {
+                    reading.tries += 1;
+                }
+                // It goes on as the same errand, so nothing else takes its turn.
+                return self.on_new_line(server, errand);
+            }
+            Next::Answer(status) => self.errand_lost(errand, status, "the media server did not answer well"),
+            Next::Cut => {
+                if let What::Segment { player, .. } = errand.what {
+                    self.player_cut(player);
+                }
+            }
         }
         self.next_errand(server);
     }
 
+    /// So many bytes of the read on this connection have gone to its player.
+    pub(crate) fn gave(&mut self, key: Key, bytes: u64) {
+        if let Some(line) = self.lines.get(key)
+            && let Role::Errands { errand: Some(Errand { reading: Some(reading), .. }), .. } = &mut line.role
+        {
+            reading.gave(bytes);
+        }
+    }
+
     /// A segment that broke off in the middle: its connection is closed, so that the player sees it is short.
     pub(crate) fn player_cut(&mut self, player: Key) {
         self.fetchers.remove(&player);
         self.player_gone(player);
     }
 
-    pub(crate) fn errand_lost(&mut self, what: &What, why: &str) {
-        if let What::Segment { player, play, .. } = what {
-            let status = if why == "no answer in time" { 504 } else { 502 };
-            self.segment_answer(*player, *play, &Final { retry_after: None, ..words(status, why) });
+    /// The errand is given up; a player that waits for it is told, or cut off where a part had gone out.
+    pub(crate) fn errand_lost(&mut self, errand: Errand, status: u16, why: &str) {
+        let What::Segment { player, play, .. } = errand.what else { return };
+        if errand.reading.is_some_and(|r| r.so_far().given.is_some()) {
+            return self.player_cut(player);
         }
-    }
-
-    pub(crate) fn segment_refused(&mut self, player: Key, play: u64, status: u16) {
+        let over = !matches!(self.book.get(play).map(|s| &s.stage), Some(Life::Playing(_)));
         let answer = match status {
-            503 | 429 => self.away("the media server is busy"),
-            _ => words(502, "the media server has not got it"),
+            _ if over => words(410, "this session has ended"),
+            503 => self.away(why),
+            _ => words(status, why),
         };
         self.segment_answer(player, play, &answer);
     }
@@ -455,18 +490,22 @@
         self.answer(player, answer);
     }
 
-    pub(crate) fn segment_head(&mut self, player: Key, play: u64, length: u64) {
+    pub(crate) fn segment_head(&mut self, player: Key, play: u64, of: &Head) {
         let Some(session) = self.book.get(play) else { return };
         let product = &self.rundown.products[session.product];
         let kbps = (self.rundown.ladder[session.rung].rate_kb * product.scale * 8.0).ceil() as u64;
         // CTA-5006: the maximum suggested bitrate, kbit/s.
-        let more =
-            ["Content-Type: video/mp4".to_string(), format!("CMSD-Dynamic: \"pulleystair\";mb={kbps}")];
+        let mut more =
+            vec!["Content-Type: video/mp4".to_string(), format!("CMSD-Dynamic: \"pulleystair\";mb={kbps}")];
+        more.push("Accept-Ranges: bytes".into());
+        if let Some((first, last, whole)) = of.range {
+            more.push(format!("Content-Range: bytes {first}-{last}/{whole}"));
+        }
         let limits = &self.rundown.limits;
-        let due = self.now() + limits.slow_reader_ms + length as f64 / limits.slow_reader_kb;
+        let due = self.now() + limits.slow_reader_ms + of.length as f64 / limits.slow_reader_kb;
         let Some(line) = self.lines.get(player) else { return };
         let mut out = Vec::new();
-        http::head(&mut out, 200, length, line.keep_alive, &more);
+        http::head(&mut out, of.status, of.length, line.keep_alive, &more);
         line.write(&out);
         self.set_due(player, due);
     }
@@ -521,12 +560,15 @@
         };
         let target = format!("/plays/{}-{play}-{n}", self.run);
         let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
-        self.run_errand(server, Errand { what: What::Word, request, left: None, last: false });
+        self.run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
     }
 
     fn probe(&mut self, server: u32) {
         let request = self.request_to(server, "GET", "/load", "");
-        self.run_errand(server, Errand { what: What::Probe, request, left: None, last: false });
+        self.run_errand(
+            server,
+            Errand { what: What::Probe, request, reading: None, left: None, last: false },
+        );
     }
 
     fn declined(&mut self, play: u64, pause: f64) {
--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -16,6 +16,7 @@
     pub target: String,
     pub keep_alive: bool,
     pub bearer: Option<String>,
+    pub range: Option<(u64, Option<u64>)>,
 }
 
 /// Why a request is not taken, and how that is answered.
@@ -41,7 +42,7 @@
         Err(_) => return refuse(400, "request head malformed"),
     };
     let minor = head.version.unwrap_or(1);
-    let (mut keep_alive, mut hosts, mut bearer) = (minor == 1, 0, None);
+    let (mut keep_alive, mut hosts, mut bearer, mut part) = (minor == 1, 0, None, None);
     for header in head.headers.iter() {
         let Ok(value) = std::str::from_utf8(header.value).map(str::trim) else {
             return refuse(400, "header value is not text");
@@ -52,6 +53,7 @@
             "connection" if minor == 0 && has(value, "keep-alive") => keep_alive = true,
             "content-length" if value == "0" => {}
             "content-length" | "transfer-encoding" => return refuse(413, "requests have no body here"),
+            "range" => part = range(value),
             "authorization" => {
                 if let Some((scheme, token)) = value.split_once(' ') {
                     let token = token.trim().to_string();
@@ -65,7 +67,10 @@
         return refuse(400, "exactly one Host header is wanted");
     }
     let (method, target) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
-    Ok(Some((Request { method: method.into(), target: target.into(), keep_alive, bearer }, size)))
+    Ok(Some((
+        Request { method: method.into(), target: target.into(), keep_alive, bearer, range: part },
+        size,
+    )))
 }
 
 fn has(list: &str, word: &str) -> bool {
@@ -76,6 +81,7 @@
     match status {
         200 => "OK",
         204 => "No Content",
+        206 => "Partial Content",
         400 => "Bad Request",
         401 => "Unauthorized",
         403 => "Forbidden",
@@ -83,6 +89,7 @@
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         410 => "Gone",
+        416 => "Range Not Satisfiable",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
@@ -97,6 +104,8 @@
     let connection = if keep_alive { "keep-alive" } else { "close" };
     let _ = write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", reason(status));
     let _ = write!(out, "Connection: {connection}\r\nCache-Control: no-store\r\n");
+    // Players in browsers come from the portal's pages; the token, not the origin, is what opens anything.
+    let _ = write!(out, "Access-Control-Allow-Origin: *\r\nAccess-Control-Expose-Headers: *\r\n");
     more.iter().for_each(|line| {
         let _ = write!(out, "{line}\r\n");
     });
@@ -118,6 +127,8 @@
     pub body: Body,
     /// The value of its load report.
     pub load: Option<String>,
+    /// First and last byte, and the whole's length, of a partial answer.
+    pub range: Option<(u64, u64, u64)>,
 }
 
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -145,7 +156,7 @@
         Err(e) => return Err(BadAnswer::Malformed(e.to_string())),
     };
     let status = head.code.unwrap_or(0);
-    let (mut length, mut chunked, mut load) = (None, false, None);
+    let (mut length, mut chunked, mut load, mut range) = (None, false, None, None);
     let mut keep_alive = head.version == Some(1);
     for header in head.headers.iter() {
         let value = String::from_utf8_lossy(header.value);
@@ -161,6 +172,9 @@
             "transfer-encoding" if value.eq_ignore_ascii_case("chunked") => chunked = true,
             "transfer-encoding" => return Err(BadAnswer::Malformed("Transfer-Encoding".into())),
             "connection" if has(value, "close") => keep_alive = false,
+            "content-range" => {
+                range = Some(content_range(value).ok_or(BadAnswer::Malformed("Content-Range".into()))?);
+            }
             pulleystair_orca::HEADER => load = Some(value.to_string()),
             _ => {}
         }
@@ -172,7 +186,28 @@
         (false, None) if status == 204 || status == 304 => Body::Length(0),
         (false, None) => return Err(BadAnswer::NoLength),
     };
-    Ok(Some((Answer { status, keep_alive, body, load }, size)))
+    Ok(Some((Answer { status, keep_alive, body, load, range }, size)))
+}
+
+/// `bytes FIRST-LAST/LENGTH` (RFC 9110, section 14.4).
+fn content_range(value: &str) -> Option<(u64, u64, u64)> {
+    let (part, whole) = value.strip_prefix("bytes ")?.split_once('/')?;
+    let (first, last) = part.split_once('-')?;
+    let (first, last, whole) = (first.parse().ok()?, last.parse().ok()?, whole.parse().ok()?);
+    (first <= last && last < whole).then_some((first, last, whole))
+}
+
+/// One `bytes=FIRST-` or `bytes=FIRST-LAST` (RFC 9110, section 14.1.2). Other forms are not served in parts: the
+/// whole is a right answer to them.
+pub fn range(value: &str) -> Option<(u64, Option<u64>)> {
+    let (first, last) = value.strip_prefix("bytes=")?.split_once('-')?;
+    let digits = |text: &str| text.len() <= 15 && text.bytes().all(|b| b.is_ascii_digit());
+    let first: u64 = first.parse().ok().filter(|_| digits(first))?;
+    if last.is_empty() {
+        return Some((first, None));
+    }
+    let last: u64 = last.parse().ok().filter(|_| digits(last))?;
+    (first <= last).then_some((first, Some(last)))
 }
 
 /// Takes chunked bodies apart (RFC 9112, section 7.1).
@@ -283,6 +318,18 @@
         assert!(answer(text.as_bytes()).is_err());
     }
 
+    #[test_case("bytes=0-99", Some((0, Some(99))); "first and last")]
+    #[test_case("bytes=100-", Some((100, None)); "from there on")]
+    #[test_case("bytes=9-3", None; "backwards")]
+    #[test_case("bytes=-500", None; "the last ones")]
+    #[test_case("bytes=0-1,5-6", None; "several")]
+    #[test_case("bytes=+1-2", None; "a sign")]
+    #[test_case("bytes=99999999999999999999-", None; "too large")]
+    #[test_case("lines=1-2", None; "another unit")]
+    fn ranges_that_are_served_in_parts(value: &str, part: Option<(u64, Option<u64>)>) {
+        assert_eq!(range(value), part);
+    }
+
     #[test_case("zz\r\n"; "no size")]
     #[test_case("FFFFFFFFFFFFFFFF\r\n"; "too large")]
     #[test_case("1\r\nabc"; "longer than told")]
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -3,6 +3,7 @@
 
 use crate::edge::Edge;
 use crate::http::Chunks;
+use crate::reading::Reading;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use slab::Slab;
@@ -46,8 +47,10 @@
 /// A request to a server on a pooled connection.
 pub struct Errand {
     pub what: What,
-    /// The request, sent again if a connection that was idle turns out to be closed.
+    /// What is sent, but for its range.
     pub request: Vec<u8>,
+    /// Of a segment: its read through all its tries.
+    pub reading: Option<Reading>,
     /// Bytes of the answer's body still to come, once its head was read.
     pub left: Option<u64>,
     /// The line is to be closed after the answer.
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -3,6 +3,7 @@
 //! Times are ms, rates kB a second, sizes bytes.
 
 use pulleystair::{CallSheet, Value};
+use pulleystair_admission::reads;
 use pulleystair_dash::address;
 use pulleystair_dash::token::Ring;
 use pulleystair_templates::{Fault, load, refused};
@@ -33,6 +34,8 @@
     pub prices: Prices,
     #[serde(default)]
     pub limits: Limits,
+    #[serde(default)]
+    pub reads: Reads,
     /// Keys of the portal's entry tokens, and of this fleet's session tokens; the first one signs.
     pub entry_keys: Vec<KeyFile>,
     pub pass_keys: Vec<KeyFile>,
@@ -231,6 +234,30 @@
     }
 }
 
+/// Reads of segments that fail are repeated, or taken up where they broke off: so often each, while the player is
+/// thought to wait, and at each server within any span so many free plus a share of its first tries.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Reads {
+    pub tries: usize,
+    pub patience_ms: f64,
+    pub span_ms: f64,
+    pub share: f64,
+    pub free: f64,
+}
+
+impl Default for Reads {
+    fn default() -> Reads {
+        Reads { tries: 3, patience_ms: 8_000.0, span_ms: 10_000.0, share: 0.1, free: 8.0 }
+    }
+}
+
+impl Reads {
+    pub fn terms(&self) -> reads::Terms {
+        reads::Terms { tries: self.tries, span: self.span_ms, share: self.share, free: self.free }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeyFile {
@@ -362,6 +389,11 @@
         }
         from_0("prices.probe", self.prices.probe)?;
         from_0("prices.cross_zone", self.prices.cross_zone)?;
+        count("reads.tries", self.reads.tries, 100)?;
+        positive("reads.patience_ms", self.reads.patience_ms)?;
+        positive("reads.span_ms", self.reads.span_ms)?;
+        from_0("reads.share", self.reads.share)?;
+        from_0("reads.free", self.reads.free)?;
         let l = &self.limits;
         let counts = [
             ("connections", l.connections),
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -31,6 +31,10 @@
     day
 }
 
+fn log_of(house: &House) -> String {
+    std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default()
+}
+
 fn asked_for(seen: &[Seen]) -> usize {
     seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
 }
@@ -174,7 +178,7 @@
             Ok(n) => read += n,
         }
         // What lies in buffers may still be read; the front's end of it shows as soon as it is gone.
-        let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+        let log = log_of(&house);
         if log.contains("too slow") {
             let mut rest = Vec::new();
             let _ = slow.stream.read_to_end(&mut rest).await;
@@ -186,6 +190,87 @@
     house.kept();
 }
 
+/// A house whose one play has a segment of 200 kB to fetch, and that segment's address.
+async fn with_segments(reads: serde_json::Value) -> (House, String) {
+    let mut day = day();
+    day["ladder"] = json!([{ "rate_kb": 200, "earns": 1 }]);
+    day["reads"] = reads;
+    day["limits"] = json!({ "segment_ms": 300 });
+    let house = House::of(day).await;
+    let base = base(&house.ask("s", FREE).await);
+    (house, format!("{base}0/2.m4s"))
+}
+
+fn whole(bytes: &[u8]) -> bool {
+    content::read(bytes).is_some_and(|c| c.intact && c.number == 2)
+}
+
+#[test_case(|a| a.cut = 1.0; "cut short")]
+#[test_case(|a| a.stall = 1.0; "stalled")]
+#[tokio::test]
+async fn a_segment_that_breaks_off_is_taken_up_where_it_broke(ill: fn(&mut pulleystair_boxes::world::Ails)) {
+    // Each try brings half of what is left; ten of them leave a 200th, which comes once the server is well.
+    let (house, target) = with_segments(json!({ "tries": 50, "free": 100 })).await;
+    house.ail(ill);
+    let (fetched, ()) = tokio::join!(house.get(&target), async {
+        house.until_true("a further try", || log_of(&house).contains("Again")).await;
+        house.ail(|a| (a.cut, a.stall) = (0.0, 0.0));
+    });
+    assert_eq!(fetched.status, 200);
+    assert!(whole(&fetched.body), "no byte is missing or twice");
+    assert_eq!(house.set_ups().len(), 1, "and no second allocation was made for it");
+    house.kept();
+}
+
+#[test_case(json!({ "tries": 2 }), |a| a.cut = 1.0; "no tries left")]
+#[test_case(json!({ "free": 0, "share": 0 }), |a| a.cut = 1.0; "no budget")]
+#[test_case(json!({}), |a| (a.cut, a.no_ranges) = (1.0, 1.0); "a server without ranges")]
+#[tokio::test]
+async fn a_segment_that_can_not_go_on_ends_short_and_is_never_patched_up(
+    reads: serde_json::Value,
+    ill: fn(&mut pulleystair_boxes::world::Ails),
+) {
+    let (house, target) = with_segments(reads).await;
+    house.ail(ill);
+    let mut peer = Peer::new(TcpStream::connect(house.at[0]).await.expect("a connection"));
+    peer.write(get(&target).as_bytes()).await.expect("the request is taken");
+    let mut bytes = Vec::new();
+    peer.stream.read_to_end(&mut bytes).await.expect("the front closes");
+    let body = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| bytes.split_off(at + 4));
+    let body = body.expect("a head had come");
+    assert!(body.len() < 200_000, "the player sees that it is short");
+    assert_eq!(body, content::make(&house.titles[FREE].name, 0, 2, 200_000)[..body.len()]);
+    house.ail(|a| (a.cut, a.no_ranges) = (0.0, 0.0));
+    assert!(whole(&house.get(&target).await.body), "asked again by the player, it comes");
+    house.kept();
+}
+
+#[tokio::test]
+async fn more_bytes_than_told_are_not_passed_on() {
+    let (house, target) = with_segments(json!({})).await;
+    house.ail(|a| a.over_long = 1.0);
+    for _ in 0..5 {
+        assert!(whole(&house.get(&target).await.body));
+    }
+    house.kept();
+}
+
+#[tokio::test]
+async fn parts_of_a_segment_fit_together() {
+    let (house, target) = with_segments(json!({})).await;
+    let part = async |range: &str| {
+        let text = format!("GET {target} HTTP/1.1\r\nHost: f\r\nRange: {range}\r\n\r\n");
+        house.send(&text).await.expect("an answer comes")
+    };
+    let (first, rest) = (part("bytes=0-99999").await, part("bytes=100000-").await);
+    assert_eq!((first.status, rest.status), (206, 206));
+    assert_eq!(rest.header("content-range"), Some("bytes 100000-199999/200000"));
+    assert!(whole(&[first.body, rest.body].concat()));
+    assert_eq!(part("bytes=900000-").await.status, 416);
+    assert!(whole(&part("bytes=-100").await.body), "a form that is not served in parts gets the whole");
+    house.kept();
+}
+
 #[tokio::test]
 async fn every_holder_is_cold() {
     let mut day = day();
@@ -197,7 +282,7 @@
     }
     house
         .until_true("the front has read the list", || {
-            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            let log = log_of(&house);
             log.matches("list taken").count() >= 2
         })
         .await;
@@ -252,7 +337,7 @@
     let file = house.folder().join("list.json");
     let whole = std::fs::read_to_string(&file).expect("the list is there");
     let says = |what: &str| {
-        let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+        let log = log_of(&house);
         log.matches(what).count()
     };
     std::fs::write(&file, &whole[..whole.len() / 2]).expect("the list is written");
@@ -277,7 +362,7 @@
     std::fs::write(&file, list.to_string()).expect("the list is written");
     house
         .until_true("the front has read the list", || {
-            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            let log = log_of(&house);
             log.matches("list taken").count() >= 2
         })
         .await;
@@ -352,7 +437,7 @@
     let theirs = portal().sign(&Entry { sub: "w".into(), ..entry(&house) });
     let answer = house.get(&format!("/v1/free/{title}/manifest.mpd?token={theirs}")).await;
     assert_eq!(answer.status, 403, "another viewer's session");
-    let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+    let log = log_of(&house);
     assert!(!log.is_empty() && !log.contains(&good[..20]), "no token in a log");
 }
 
@@ -401,7 +486,7 @@
     signal(&house).await;
     house
         .until_true("it says so", || {
-            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            let log = log_of(&house);
             log.contains("stopping: no new plays")
         })
         .await;
@@ -437,7 +522,7 @@
     signal(&house).await;
     house
         .until_true("it says so", || {
-            let log = std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default();
+            let log = log_of(&house);
             log.contains("stopping: no new plays")
         })
         .await;
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -33,7 +33,10 @@
 impl Program {
     /// The real front.
     pub fn edge(path: PathBuf) -> Program {
-        Program { path, words: ["--log", "json", "run"].map(String::from).to_vec() }
+        Program {
+            path,
+            words: ["--log", "json", "--level", "info,server=debug", "run"].map(String::from).to_vec(),
+        }
     }
 }
 
@@ -106,6 +109,7 @@
         },
         "prices": { "probe": 0.01, "cross_zone": 0.02 },
         "limits": day.limits,
+        "reads": day.reads,
         "entry_keys": [{ "kid": "portal-1", "file": "entry.key" }],
         "pass_keys": [{ "kid": "pass-1", "file": "pass.key" }],
     })
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -26,6 +26,9 @@
     /// Limits of the fronts, as in a front's rundown.
     #[serde(default)]
     pub limits: serde_json::Map<String, serde_json::Value>,
+    /// Repeated reads of segments, likewise.
+    #[serde(default)]
+    pub reads: serde_json::Map<String, serde_json::Value>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -175,6 +178,9 @@
     LostAnswers,
     /// So large a part of the answers breaks off within its head.
     HalfHeads,
+    /// So large a part of the segments breaks off half-way, or stalls there.
+    CutSegments,
+    StallSegments,
     /// Work takes up to so many times as long, more and more, then the process ends and comes back cold.
     SlowDeath,
     /// Links carry so much less.
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -289,6 +289,8 @@
             (ails.lost, ails.reset) = (half, half);
         }
         Kind::HalfHeads => ails.half_heads = if on { size } else { well.half_heads },
+        Kind::CutSegments => ails.cut = if on { size } else { well.cut },
+        Kind::StallSegments => ails.stall = if on { size } else { well.stall },
         Kind::LinkLoss => ails.link = if on { 1.0 / size } else { well.link },
         Kind::LateReports => ails.late_ms = if on { size * 1000.0 } else { well.late_ms },
         _ => {}
