--- a/crates/drill/tests/tape.rs
+++ b/crates/drill/tests/tape.rs
@@ -232,10 +232,8 @@
             ];
             batch.record(18, &fields);
         }
-        if step % 60 == 59 {
-            if let Some(o) = out.first() {
-                batch.record(21, &[&who, &o.play.to_le_bytes()]);
-            }
+        if let Some(o) = out.first().filter(|_| step % 60 == 59) {
+            batch.record(21, &[&who, &o.play.to_le_bytes()]);
         }
         let reply = adapter.batch(&batch.0);
         let mut rest = reply.as_slice();
