Adapt how many set-ups are out to their delay, and let a crowd wait or go at once

A fixed limit of plays being decided says nothing of what servers carry. Set-ups out at once now follow the gradient of their delay; further plays wait in a short queue, newest first once the oldest has waited too long, and whoever can't be served in time is declined at once, before anything ran. The desk is told when the viewer asked, so time-outs count from there. A growth of delay that no viewer notices (20 ms) does not shrink the limit: without that a fleet that sets up in 1 ms was throttled.

A story holds 300 requests against eight set-ups at once: never more than eight out, all answered in time.

--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -12,6 +12,8 @@
     pub most: f64,
     /// Delay may grow by this factor before the limit gives way.
     pub tolerance: f64,
+    /// And by so many ms more: what no viewer notices is no reason to make others wait.
+    pub slack: f64,
     /// So many outcomes make a sample.
     pub sample: usize,
 }
@@ -81,7 +83,8 @@
                 _ => delay,
             };
             self.undisturbed = Some(base);
-            (self.terms.tolerance * base / delay * (1.0 - lost)).clamp(HALF, 1.0)
+            let allowed = self.terms.tolerance * base + self.terms.slack;
+            (allowed / delay * (1.0 - lost)).clamp(HALF, 1.0)
         };
         let queue = self.limit.sqrt();
         let wanted = self.limit * gradient + queue;
@@ -98,7 +101,7 @@
 mod tests {
     use super::*;
 
-    const TERMS: Terms = Terms { least: 4.0, most: 1000.0, tolerance: 1.5, sample: 10 };
+    const TERMS: Terms = Terms { least: 4.0, most: 1000.0, tolerance: 1.5, slack: 0.0, sample: 10 };
 
     /// A fleet that sets up so many at once in 20 ms, and queues what is more.
     fn delay(in_hand: usize, capacity: usize) -> f64 {
@@ -134,6 +137,17 @@
         assert_eq!(limit.now(), 1000);
     }
 
+    #[test]
+    fn a_growth_that_no_viewer_notices_is_no_crowd() {
+        let mut limit = Limit::new(Terms { slack: 20.0, ..TERMS });
+        let start = limit.now();
+        (0..50).for_each(|_| limit.set_up(0.5, limit.clone().now()));
+        (0..2000).for_each(|_| limit.set_up(8.0, limit.clone().now()));
+        assert!(limit.now() > start);
+        (0..2000).for_each(|_| limit.set_up(200.0, limit.clone().now()));
+        assert!(limit.now() < start);
+    }
+
     #[test]
     fn a_quiet_hour_does_not_open_it() {
         let mut limit = Limit::new(TERMS);
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -42,6 +42,8 @@
     pub holders: usize,
     /// Highest rung that the viewer can use.
     pub top: usize,
+    /// When the viewer asked, which may be before the play was taken in hand.
+    pub came: f64,
     /// The clock time at which the viewer gives up on a set-up.
     pub limit: f64,
 }
@@ -117,7 +119,7 @@
 
     /// A viewer asks for a play that has not been in hand before.
     pub fn take(&mut self, now: f64, id: u64, wish: &Wish, hands: &mut impl Hands) {
-        let ply = self.keep(now, id, wish);
+        let ply = self.keep(id, wish);
         self.front.take(now, &mut self.plays[ply]);
         self.ask(now, ply, hands);
     }
@@ -125,7 +127,7 @@
     /// A play that ran at this server before this front started.
     pub fn adopt(&mut self, now: f64, id: u64, wish: &Wish, server: u32, hands: &mut impl Hands) {
         let server = self.server(server);
-        let ply = self.keep(now, id, wish);
+        let ply = self.keep(id, wish);
         self.plays[ply].server = Some(server);
         self.front.adopt(now, &mut self.plays, ply);
         self.set_timer(now, ply, hands);
@@ -214,10 +216,10 @@
         index
     }
 
-    fn keep(&mut self, now: f64, id: u64, wish: &Wish) -> usize {
-        let Wish { product, first_cell, holders, top, limit, .. } = *wish;
+    fn keep(&mut self, id: u64, wish: &Wish) -> usize {
+        let Wish { product, first_cell, holders, top, came, limit, .. } = *wish;
         let title = self.titles.of(wish.title);
-        let play = Play { product, title, first_cell, holders, top, came: now, limit, ..Play::default() };
+        let play = Play { product, title, first_cell, holders, top, came, limit, ..Play::default() };
         let ply = self.free.pop().unwrap_or(self.plays.len());
         if ply == self.plays.len() {
             self.plays.push(play);
--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -191,7 +191,7 @@
                 let first_cell = f.f32()?.max(0.0) as usize;
                 f.ms()?;
                 let product = f.u16()?.into();
-                let wish = Wish { product, title, first_cell, holders, top, limit };
+                let wish = Wish { product, title, first_cell, holders, top, came: now, limit };
                 if self.sells(&wish, f, hands) {
                     self.desk.take(now, id, &wish, hands);
                 }
@@ -209,7 +209,7 @@
                 let top = f.f32()?.max(0.0) as usize;
                 f.u8()?;
                 let server = f.u32()?;
-                let wish = Wish { product, title, first_cell, holders, top, limit };
+                let wish = Wish { product, title, first_cell, holders, top, came: now, limit };
                 if self.sells(&wish, f, hands) {
                     self.desk.adopt(now, id, &wish, server, hands);
                 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -16,6 +16,8 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::limit::Limit;
+use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{Budget, Fault};
 use pulleystair_dash::address::{self, Address};
 use pulleystair_dash::mpd::segments;
@@ -107,6 +109,9 @@
             entry_keys: keys(&rundown.entry_keys)?,
             pass_keys: keys(&rundown.pass_keys)?,
             lines: Lines::new(handle.clone()),
+            queue: Queue::new(rundown.admission.queue()),
+            limit: Limit::new(rundown.admission.limit()),
+            out: 0,
             handle,
             door: None,
             book: Book::new(bounds),
@@ -367,15 +372,54 @@
             }
             Asked::New(play) => {
                 floor.wait_for(key, play);
-                let (first_cell, holders) = (show.first_cell, show.holders);
-                let top = entry.top.min(floor.rundown.ladder.len() - 1);
-                let wish = Wish { product, title: title as u64, first_cell, holders, top, limit };
-                self.desk.take(now, play, &wish, &mut self.floor);
+                self.admit_or_wait(now, play);
                 None
             }
         }
     }
 
+    /// A play is taken in hand, or waits where as many set-ups are out as may be.
+    fn admit_or_wait(&mut self, now: f64, play: u64) {
+        let floor = &mut self.floor;
+        if floor.queue.is_empty() && floor.out < floor.limit.now() {
+            return self.admit(now, play);
+        }
+        let limit = floor.book.get(play).map_or(now, |s| s.limit);
+        let until = limit - floor.rundown.admission.reserve_ms;
+        if let Some(gives_way) = floor.queue.wait(now, play, until) {
+            floor.crowded_out(gives_way);
+        }
+        if let Some(due) = floor.queue.due() {
+            floor.clock(due, Clock::Queue);
+        }
+    }
+
+    fn admit(&mut self, now: f64, play: u64) {
+        let Some(session) = self.floor.book.get(play) else { return };
+        let wish = Wish {
+            product: session.product,
+            title: session.title as u64,
+            first_cell: session.show.first_cell,
+            holders: session.show.holders,
+            top: session.top.min(self.floor.rundown.ladder.len() - 1),
+            came: session.came,
+            limit: session.limit,
+        };
+        self.desk.take(now, play, &wish, &mut self.floor);
+    }
+
+    /// Tells those for whom it is too late, and takes up whoever may be.
+    fn admit_waiting(&mut self) {
+        let now = self.floor.now();
+        for late in self.floor.queue.late(now) {
+            self.floor.crowded_out(late);
+        }
+        while self.floor.out < self.floor.limit.now() {
+            let Some(play) = self.floor.queue.next(now) else { return };
+            self.admit(now, play);
+        }
+    }
+
     /// A request for a segment: its answer, or none while it is fetched.
     fn segment(
         &mut self,
@@ -483,6 +527,9 @@
     /// The first frame is at hand: whoever waits is answered.
     fn plays(&mut self, now: f64, play: u64, server: u32, load: &[Figure]) {
         let floor = &mut self.floor;
+        let asked = floor.book.get(play).map_or(now, |s| s.sent);
+        floor.limit.set_up(now - asked, floor.out);
+        floor.out = floor.out.saturating_sub(1);
         if let Some(answer) = floor.manifest_of(play) {
             for key in floor.book.plays(now, play, answer.clone()) {
                 floor.answer(key, &answer);
@@ -557,6 +604,14 @@
                 debug!(target: "play", play, server = self.floor.name(server), ?outcome, "allocation ended");
             }
         }
+        if !closed {
+            let floor = &mut self.floor;
+            // What is refused as too much, or not done in time, says that servers are behind.
+            if matches!(outcome, Outcome::Full | Outcome::TimedOut) {
+                floor.limit.lost(floor.out);
+            }
+            floor.out = floor.out.saturating_sub(1);
+        }
         self.desk.ended(now, play, server, outcome, closed, load, &mut self.floor);
     }
 
@@ -567,6 +622,8 @@
                 self.allocation_ended(play, server, outcome, &[]);
             } else if let Some(player) = self.floor.woken.pop() {
                 self.player(player);
+            } else if !self.floor.queue.is_empty() && self.floor.out < self.floor.limit.now() {
+                self.admit_waiting();
             } else {
                 return;
             }
@@ -722,6 +779,7 @@
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
                 Clock::Line(key) => self.line_due(now, key),
+                Clock::Queue => self.admit_waiting(),
                 Clock::Session(play) => self.session_due(now, play),
                 Clock::List => self.look_at_list(),
                 Clock::Accept => self.floor.take_connections(true),
@@ -785,7 +843,9 @@
             Life::Over(_) => floor.book.forget(play),
             Life::Deciding => {
                 floor.over(play, "viewer gone", words(410, "the viewer left before the play was set up"));
-                self.desk.left(play, &mut self.floor);
+                if !floor.queue.left(play) {
+                    self.desk.left(play, &mut self.floor);
+                }
             }
             Life::Playing(_) if session.fetching > 0 => {
                 if let Some(session) = floor.book.get_mut(play) {
@@ -823,7 +883,9 @@
             if deciding {
                 let answer = words(504, "this front has stopped");
                 self.floor.over(play, "front stopped", answer);
-                self.desk.left(play, &mut self.floor);
+                if !self.floor.queue.left(play) {
+                    self.desk.left(play, &mut self.floor);
+                }
             } else {
                 self.finish(play, "front stopped");
             }
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -10,6 +10,8 @@
 use crate::sessions::{Book, Final, Stage as Life};
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::limit::Limit;
+use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{Budget, Fault, Next};
 use pulleystair_dash::address;
 use pulleystair_dash::mpd::Presentation;
@@ -36,6 +38,7 @@
     TimeOut(u64, usize),
     Line(Key),
     Session(u64),
+    Queue,
     List,
     Accept,
     Stop,
@@ -67,6 +70,10 @@
     pub(crate) handle: LoopHandle<'static, Edge>,
     pub(crate) door: Option<RegistrationToken>,
     pub(crate) book: Book,
+    /// Who waits until a set-up more may be out, how many may be and are.
+    pub(crate) queue: Queue,
+    pub(crate) limit: Limit,
+    pub(crate) out: usize,
     pub(crate) watched: Watched,
     /// Every title ever listed has a number of its own; what is listed now is told beside what it is.
     pub(crate) titles: HashMap<(usize, String), usize>,
@@ -228,6 +235,12 @@
         }
     }
 
+    /// Nobody could take the play up in time; nothing of it ran.
+    pub(crate) fn crowded_out(&mut self, play: u64) {
+        let answer = self.away("too many plays are asked for now");
+        self.over(play, "crowded out", answer);
+    }
+
     /// The play that a pass opens, if it runs here.
     pub(crate) fn playing(&self, pass: &str) -> Result<u64, Final> {
         let pass = self.pass_keys.pass(pass, (self.now() / 1000.0) as u64);
@@ -517,7 +530,9 @@
         let Some(session) = self.book.get_mut(play) else { return };
         session.server = Some(server);
         session.rung = rung;
+        session.sent = now;
         session.allocations += 1;
+        self.out += 1;
         let (n, product) = (session.allocations, session.product);
         let body = serde_json::json!({
             "title": session.show.name,
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -3,7 +3,7 @@
 //! Times are ms, rates kB a second, sizes bytes.
 
 use pulleystair::{CallSheet, Value};
-use pulleystair_admission::reads;
+use pulleystair_admission::{limit, queue, reads};
 use pulleystair_dash::address;
 use pulleystair_dash::token::Ring;
 use pulleystair_templates::{Fault, load, refused};
@@ -36,6 +36,8 @@
     pub limits: Limits,
     #[serde(default)]
     pub reads: Reads,
+    #[serde(default)]
+    pub admission: Admission,
     /// Keys of the portal's entry tokens, and of this fleet's session tokens; the first one signs.
     pub entry_keys: Vec<KeyFile>,
     pub pass_keys: Vec<KeyFile>,
@@ -258,6 +260,49 @@
     }
 }
 
+/// How many set-ups may be out at once, adapted to their delay, and who waits meanwhile.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    pub least: f64,
+    pub most: f64,
+    /// Delay may grow by this factor and so much more before the limit gives way; so many outcomes make a sample.
+    pub tolerance: f64,
+    pub slack_ms: f64,
+    pub sample: usize,
+    /// Plays that may wait; from this wait of the oldest on the newest come first; whoever has no more time left
+    /// than the reserve is told at once.
+    pub queue: usize,
+    pub crowded_ms: f64,
+    pub reserve_ms: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Admission {
+        Admission {
+            least: 4.0,
+            most: 1_000.0,
+            tolerance: 2.0,
+            slack_ms: 20.0,
+            sample: 20,
+            queue: 1_000,
+            crowded_ms: 200.0,
+            reserve_ms: 300.0,
+        }
+    }
+}
+
+impl Admission {
+    pub fn limit(&self) -> limit::Terms {
+        let Admission { least, most, tolerance, slack_ms: slack, sample, .. } = *self;
+        limit::Terms { least, most, tolerance, slack, sample }
+    }
+
+    pub fn queue(&self) -> queue::Terms {
+        queue::Terms { most: self.queue, crowded: self.crowded_ms }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeyFile {
@@ -389,6 +434,21 @@
         }
         from_0("prices.probe", self.prices.probe)?;
         from_0("prices.cross_zone", self.prices.cross_zone)?;
+        positive("admission.least", self.admission.least)?;
+        positive("admission.most", self.admission.most)?;
+        if self.admission.most < self.admission.least {
+            let found = self.admission.most.to_string();
+            return Err(("admission.most".into(), found, "a number no lower than admission.least"));
+        }
+        if !(1.0..=100.0).contains(&self.admission.tolerance) {
+            let found = self.admission.tolerance.to_string();
+            return Err(("admission.tolerance".into(), found, "a number from 1 to 100"));
+        }
+        from_0("admission.slack_ms", self.admission.slack_ms)?;
+        count("admission.sample", self.admission.sample, 100_000)?;
+        count("admission.queue", self.admission.queue, 1_000_000)?;
+        from_0("admission.crowded_ms", self.admission.crowded_ms)?;
+        from_0("admission.reserve_ms", self.admission.reserve_ms)?;
         count("reads.tries", self.reads.tries, 100)?;
         positive("reads.patience_ms", self.reads.patience_ms)?;
         positive("reads.span_ms", self.reads.span_ms)?;
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -41,9 +41,10 @@
     pub waiters: Vec<u64>,
     /// Since when nobody has waited, while it is being decided.
     pub alone_since: f64,
-    /// Where the latest allocation went, how many there were, and the connection that carries it.
+    /// Where the latest allocation went, how many there were, when it went, and the connection that carries it.
     pub server: Option<u32>,
     pub allocations: usize,
+    pub sent: f64,
     pub line: Option<u64>,
     pub rung: usize,
     /// When the first frame was at hand; when its player last asked for something; requests under way.
@@ -180,6 +181,7 @@
             alone_since: now,
             server: None,
             allocations: 0,
+            sent: 0.0,
             line: None,
             rung: 0,
             started: 0.0,
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -406,6 +406,40 @@
     house.kept();
 }
 
+#[tokio::test]
+async fn a_crowd_waits_for_its_turn_and_whoever_can_not_be_served_in_time_is_told() {
+    let mut day = day();
+    day["rules"]["allocations"] = json!(1);
+    day["admission"] = json!({ "least": 8, "most": 8, "queue": 100, "reserve_ms": 400 });
+    let house = House::of(day).await;
+    // Eight set-ups of 100 ms at once, for a second and a bit: under a hundred of three hundred.
+    house.ail(|a| a.slow = 20.0);
+    let mut asking = Vec::new();
+    for i in 0..300 {
+        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
+    }
+    // Some of those that wait leave.
+    asking.drain(250..260).for_each(|one| one.leave());
+    let (mut played, mut crowded) = (0, 0);
+    for one in asking {
+        let answer = one.answer().await;
+        played += usize::from(answer.status == 200);
+        crowded += usize::from(answer.status == 503 && text(&answer).contains("too many plays"));
+    }
+    assert!(played >= 8 && crowded >= 100, "{played} played, {crowded} were told");
+    let (mut out, mut most) = (0i32, 0);
+    for seen in house.log.taken() {
+        match seen.what {
+            What::SetUp { .. } => out += 1,
+            What::Done { .. } => out -= 1,
+            _ => {}
+        }
+        most = most.max(out);
+    }
+    assert!(most <= 8, "{most} set-ups out at once");
+    house.kept();
+}
+
 fn entry(house: &House) -> Entry {
     let (product, title) = (house.day.products[FREE].name.clone(), house.titles[FREE].name.clone());
     Entry { jti: "s".into(), sub: "v".into(), product, title, top: 1, exp: u64::MAX >> 12 }
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -110,6 +110,7 @@
         "prices": { "probe": 0.01, "cross_zone": 0.02 },
         "limits": day.limits,
         "reads": day.reads,
+        "admission": day.admission,
         "entry_keys": [{ "kid": "portal-1", "file": "entry.key" }],
         "pass_keys": [{ "kid": "pass-1", "file": "pass.key" }],
     })
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -29,6 +29,9 @@
     /// Repeated reads of segments, likewise.
     #[serde(default)]
     pub reads: serde_json::Map<String, serde_json::Value>,
+    /// How many set-ups a front has out at once, likewise.
+    #[serde(default)]
+    pub admission: serde_json::Map<String, serde_json::Value>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
