Change token keys in service, renew passes by use, and hold signals back before any thread

Keys were read at start only, and a pass lasted for a fixed time whatever its player did. Keys now come from a watched file, checked whole before use: a bad set is refused and the old one goes on; a key taken out is read for an overlap; sessions can be revoked. A pass opens its play for pass_ms after its last use.

Found by the stories on a loaded machine: since the log has a thread of its own, a SIGTERM could reach that thread and end the front at once. The signals are now held back before any thread starts.

--- a/crates/dash/src/token.rs
+++ b/crates/dash/src/token.rs
@@ -2,11 +2,12 @@
 //!
 //! An entry token comes from the portal and asks for one play. A session token (a pass) is made by the front
 //! and opens that play's segments. Each names its key by `kid` (RFC 7515, section 4.1.4); a ring holds the
-//! keys that are live: the newest signs, all of them are read.
+//! keys that are live: the newest signs, all of them are read, and those taken out for some time more.
 
 use jsonwebtoken::{Algorithm, DecodingKey, EncodingKey, Header, Validation};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::hash::{Hash, Hasher};
 
 /// The longest token that is read, bytes.
 pub const LONGEST: usize = 1024;
@@ -14,6 +15,8 @@
 pub const KEY_BYTES: usize = 32;
 /// Keys that may be live at once: the one in service, the one that comes, the one that goes.
 pub const MOST_KEYS: usize = 3;
+/// Keys that were taken out and are still read, at most.
+pub const MOST_LEAVING: usize = 32;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -75,23 +78,39 @@
     Twice(String),
     #[error("{0} keys; 1 to {MOST_KEYS} are allowed")]
     Count(usize),
+    #[error("key {0:?} has another secret than before; a new secret needs a new id")]
+    Changed(String),
+    #[error("{0} keys taken out are still in their overlap; {MOST_LEAVING} may be")]
+    Leaving(usize),
 }
 
 struct Key {
     kid: String,
+    /// By which a secret is known to be the same; it never leaves this module.
+    print: u64,
     sign: EncodingKey,
     read: DecodingKey,
 }
 
-/// The live keys, the newest first.
-pub struct Ring(Vec<Key>);
+/// The live keys, the newest first, and those that were taken out and are read until their overlap ends.
+pub struct Ring {
+    live: Vec<Key>,
+    /// Until when each is read, s since 1970.
+    leaving: Vec<(Key, u64)>,
+}
 
 impl fmt::Debug for Ring {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.debug_list().entries(self.0.iter().map(|k| &k.kid)).finish()
+        f.debug_list().entries(self.live.iter().map(|k| &k.kid)).finish()
     }
 }
 
+fn print(secret: &[u8]) -> u64 {
+    let mut hash = std::hash::DefaultHasher::new();
+    secret.hash(&mut hash);
+    hash.finish()
+}
+
 impl Ring {
     /// Keys by their ids; the first one signs.
     pub fn new(keys: &[(String, Vec<u8>)]) -> Result<Ring, KeyFault> {
@@ -108,19 +127,51 @@
         }
         let key = |(kid, secret): &(String, Vec<u8>)| Key {
             kid: kid.clone(),
+            print: print(secret),
             sign: EncodingKey::from_secret(secret),
             read: DecodingKey::from_secret(secret),
         };
-        Ok(Ring(keys.iter().map(key).collect()))
+        Ok(Ring { live: keys.iter().map(key).collect(), leaving: Vec::new() })
+    }
+
+    /// Whether [`Ring::replace`] would take these keys.
+    pub fn may_replace(&self, keys: &[(String, Vec<u8>)], now: u64) -> Result<(), KeyFault> {
+        let new = Ring::new(keys)?;
+        let mut known = self.live.iter().chain(self.leaving.iter().map(|(k, _)| k));
+        if let Some(key) = known.find(|k| new.live.iter().any(|n| n.kid == k.kid && n.print != k.print)) {
+            return Err(KeyFault::Changed(key.kid.clone()));
+        }
+        let stays = |key: &Key| new.live.iter().any(|n| n.kid == key.kid);
+        let out = self.live.iter().filter(|k| !stays(k)).count();
+        let leaving = out + self.leaving.iter().filter(|(k, until)| *until > now && !stays(k)).count();
+        if leaving > MOST_LEAVING { Err(KeyFault::Leaving(leaving)) } else { Ok(()) }
+    }
+
+    /// Puts other keys in service at `now`; those taken out are read for `overlap` s more, and one that comes back
+    /// is live again. Nothing changes where the new set can't be.
+    pub fn replace(&mut self, keys: &[(String, Vec<u8>)], now: u64, overlap: u64) -> Result<(), KeyFault> {
+        self.may_replace(keys, now)?;
+        let new = Ring::new(keys)?;
+        let stays = |key: &Key| new.live.iter().any(|n| n.kid == key.kid);
+        self.leaving.retain(|(k, until)| *until > now && !stays(k));
+        let old = std::mem::take(&mut self.live);
+        self.leaving.extend(old.into_iter().filter(|k| !stays(k)).map(|k| (k, now + overlap)));
+        self.live = new.live;
+        Ok(())
+    }
+
+    fn key(&self, kid: &str, now: u64) -> Option<&Key> {
+        let leaving = self.leaving.iter().filter(|(_, until)| *until > now).map(|(k, _)| k);
+        self.live.iter().chain(leaving).find(|k| k.kid == kid)
     }
 
     pub fn sign(&self, claims: &impl Serialize) -> String {
-        let key = &self.0[0];
+        let key = &self.live[0];
         let header = Header { kid: Some(key.kid.clone()), ..Header::new(Algorithm::HS256) };
         jsonwebtoken::encode(&header, claims, &key.sign).expect("plain claims are signed by any key")
     }
 
-    fn read<T: for<'a> Deserialize<'a>>(&self, token: &str) -> Result<T, Fault> {
+    fn read<T: for<'a> Deserialize<'a>>(&self, token: &str, now: u64) -> Result<T, Fault> {
         if token.is_empty() {
             return Err(Fault::Missing);
         }
@@ -131,7 +182,7 @@
         if header.alg != Algorithm::HS256 {
             return Err(Fault::Forged);
         }
-        let key = header.kid.as_deref().and_then(|kid| self.0.iter().find(|k| k.kid == kid));
+        let key = header.kid.as_deref().and_then(|kid| self.key(kid, now));
         let key = key.ok_or(Fault::UnknownKey)?;
         let mut signature = Validation::new(Algorithm::HS256);
         // Times are compared here, by the caller's clock.
@@ -148,7 +199,7 @@
 
     /// Reads an entry token at `now`, s since 1970, for the product and title that are asked for.
     pub fn entry(&self, token: &str, now: u64, product: &str, title: &str) -> Result<Entry, Fault> {
-        let entry: Entry = self.read(token)?;
+        let entry: Entry = self.read(token, now)?;
         if entry.product != product || entry.title != title {
             return Err(Fault::Foreign);
         }
@@ -159,7 +210,12 @@
     }
 
     pub fn pass(&self, token: &str, now: u64) -> Result<Pass, Fault> {
-        let pass: Pass = self.read(token)?;
+        let pass = self.signed_pass(token, now)?;
         if pass.exp <= now { Err(Fault::Expired) } else { Ok(pass) }
     }
+
+    /// A pass that is ours, whether or not its time is up: a play that runs may have renewed it.
+    pub fn signed_pass(&self, token: &str, now: u64) -> Result<Pass, Fault> {
+        self.read(token, now)
+    }
 }
--- a/crates/dash/tests/path.rs
+++ b/crates/dash/tests/path.rs
@@ -77,6 +77,51 @@
     assert_eq!(new.entry(&both.sign(&entry()), 99, "guide", "forms"), Ok(entry()));
 }
 
+fn secrets(kids: &[(&str, u8)]) -> Vec<(String, Vec<u8>)> {
+    kids.iter().map(|(k, b)| (k.to_string(), secret(*b))).collect()
+}
+
+#[test]
+fn a_key_taken_out_is_read_until_its_overlap_ends() {
+    let mut keys = ring(&[("k1", 1)]);
+    let old = keys.sign(&Entry { exp: 1000, ..entry() });
+    keys.replace(&secrets(&[("k2", 2)]), 100, 30).unwrap();
+    let new = keys.sign(&Entry { exp: 1000, ..entry() });
+    assert!(keys.entry(&old, 129, "guide", "forms").is_ok());
+    assert_eq!(keys.entry(&old, 130, "guide", "forms"), Err(Fault::UnknownKey));
+    assert!(keys.entry(&new, 130, "guide", "forms").is_ok());
+    // Back in service before its overlap has ended, it is live as any other.
+    keys.replace(&secrets(&[("k1", 1), ("k2", 2)]), 110, 30).unwrap();
+    assert!(
+        keys.entry(&old, 500, "guide", "forms").is_ok() && keys.entry(&new, 500, "guide", "forms").is_ok()
+    );
+}
+
+#[test]
+fn a_bad_set_changes_nothing() {
+    let mut keys = ring(&[("k1", 1)]);
+    let token = keys.sign(&entry());
+    let short = vec![("k2".to_string(), vec![2; 5])];
+    assert_eq!(keys.replace(&short, 10, 30), Err(KeyFault::Short("k2".into(), 5)));
+    assert_eq!(keys.replace(&[], 10, 30), Err(KeyFault::Count(0)));
+    assert_eq!(keys.replace(&secrets(&[("k1", 9)]), 10, 30), Err(KeyFault::Changed("k1".into())));
+    assert!(keys.entry(&token, 99, "guide", "forms").is_ok());
+    assert_eq!(keys.sign(&entry()), token, "the old one goes on signing");
+}
+
+#[test]
+fn keys_replaced_in_haste_stay_bounded_and_all_are_read() {
+    let mut keys = ring(&[("k0", 0)]);
+    let mut tokens = vec![keys.sign(&entry())];
+    for n in 1..=32u8 {
+        keys.replace(&[(format!("k{n}"), secret(n))], 10, 30).unwrap();
+        tokens.push(keys.sign(&entry()));
+    }
+    assert!(tokens.iter().all(|t| keys.entry(t, 39, "guide", "forms").is_ok()));
+    assert_eq!(keys.replace(&secrets(&[("k99", 99)]), 39, 30), Err(KeyFault::Leaving(33)));
+    assert_eq!(keys.replace(&secrets(&[("k99", 99)]), 40, 30), Ok(()), "their overlap is over");
+}
+
 #[test_case(100, "guide", "forms", Fault::Expired, 410; "expired")]
 #[test_case(99, "guide", "fees", Fault::Foreign, 403; "another title")]
 #[test_case(99, "live", "forms", Fault::Foreign, 403; "another product")]
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,7 +10,7 @@
 use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
 use crate::listing::{Known, List, Watched};
 use crate::reading::Reading;
-use crate::rundown::Rundown;
+use crate::rundown::{Keys, Rundown};
 use crate::sessions::{Asked, Book, Bounds, Final, Request, Stage as Life};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -58,8 +58,14 @@
     List::read(&rundown.list, &known(rundown))
 }
 
+/// The signals to stop, held back for the loop to read. To be called before any thread starts: a thread that does
+/// not hold them back would end the process.
+pub fn stop_signals() -> anyhow::Result<Signals> {
+    Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?)
+}
+
 /// Starts a front and runs it until it is told to stop.
-pub fn run(rundown: Rundown) -> anyhow::Result<()> {
+pub fn run(rundown: Rundown, stop: Signals) -> anyhow::Result<()> {
     let mut event_loop: EventLoop<'static, Edge> = EventLoop::try_new()?;
     let handle = event_loop.handle();
     let listener = TcpListener::bind(rundown.listen)
@@ -79,7 +85,7 @@
             Ok(PostAction::Continue)
         })?;
     edge.floor.door = Some(door);
-    handle.insert_source(Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?, |_, (), edge| edge.stop())?;
+    handle.insert_source(stop, |_, (), edge| edge.stop())?;
     info!(target: "front", %address, servers = edge.floor.servers.len(), "listens");
     while !edge.floor.done() {
         let wait = edge.floor.next_clock();
@@ -102,12 +108,19 @@
             waiters: limits.waiters,
             remember: limits.remember_ms,
         };
-        let keys = |files| crate::rundown::ring(files).map_err(anyhow::Error::msg);
+        let (entry_keys, pass_keys, revoked) =
+            rundown.rings().map_err(|(path, cause)| anyhow::anyhow!("{path}: {cause}"))?;
+        let mut keys = rundown.keys.clone().map(Watched::new);
+        keys.iter_mut().for_each(|keys| {
+            keys.replaced();
+        });
         let mut watched = Watched::new(rundown.list.clone());
         watched.replaced();
         let floor = Floor {
-            entry_keys: keys(&rundown.entry_keys)?,
-            pass_keys: keys(&rundown.pass_keys)?,
+            entry_keys,
+            pass_keys,
+            keys,
+            revoked: revoked.into_iter().collect(),
             lines: Lines::new(handle.clone()),
             queue: Queue::new(rundown.admission.queue()),
             limit: Limit::new(rundown.admission.limit()),
@@ -136,6 +149,7 @@
         let list = read_list(&edge.floor.rundown)?;
         edge.take_list(list);
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.list_poll_ms, Clock::List);
+        edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.keys_poll_ms, Clock::Keys);
         Ok(edge)
     }
 
@@ -193,6 +207,59 @@
         self.desk.list(now, true, false, &lines);
     }
 
+    // ---- keys ----
+
+    /// Puts replaced keys in service: checked whole first, so that of a bad set nothing is taken.
+    fn look_at_keys(&mut self) {
+        let floor = &mut self.floor;
+        let now = floor.now();
+        let limits = &floor.rundown.limits;
+        let (poll, overlap) = (limits.keys_poll_ms, (limits.key_overlap_ms / 1000.0).ceil() as u64);
+        floor.clock(now + poll, Clock::Keys);
+        let Some(watched) = floor.keys.as_mut() else { return };
+        if !watched.replaced() {
+            return;
+        }
+        let now = (now / 1000.0) as u64;
+        let taken = Keys::read(&watched.file).map_err(|e| e.to_string()).and_then(|(keys, entry, pass)| {
+            let (entries, passes) = (&mut floor.entry_keys, &mut floor.pass_keys);
+            // Both are asked before either is changed.
+            entries
+                .may_replace(&entry, now)
+                .and(passes.may_replace(&pass, now))
+                .map_err(|e| e.to_string())?;
+            entries.replace(&entry, now, overlap).map_err(|e| e.to_string())?;
+            passes.replace(&pass, now, overlap).map_err(|e| e.to_string())?;
+            Ok(keys.revoked)
+        });
+        let revoked = match taken {
+            Ok(revoked) => revoked,
+            Err(e) => return error!(target: "keys", "keys not taken, those in service stay: {e}"),
+        };
+        let (entry, pass) = (&floor.entry_keys, &floor.pass_keys);
+        info!(target: "keys", ?entry, ?pass, revoked = revoked.len(), "keys taken");
+        floor.revoked = revoked.into_iter().collect();
+        let ended: Vec<u64> = floor.revoked.iter().filter_map(|id| floor.book.by_id(id)).collect();
+        for play in ended {
+            self.revoke(play);
+            self.settle();
+        }
+    }
+
+    /// Ends a session that may no longer be.
+    fn revoke(&mut self, play: u64) {
+        match self.floor.book.get(play).map(|s| &s.stage) {
+            Some(Life::Deciding) => {
+                self.floor.over(play, "revoked", words(403, "this session was revoked"));
+                if !self.floor.queue.left(play) {
+                    self.desk.left(play, &mut self.floor);
+                }
+            }
+            Some(Life::Playing(_)) => self.finish(play, "revoked"),
+            _ => {}
+        }
+    }
+
     // ---- players ----
 
     fn accept(&mut self, listener: &TcpListener) {
@@ -337,7 +404,11 @@
     fn manifest(&mut self, key: Key, product: &str, title: &str, token: &str) -> Option<Final> {
         let floor = &mut self.floor;
         let now = floor.now();
-        let entry = match floor.entry_keys.entry(token, (now / 1000.0) as u64, product, title) {
+        let by_slow_clocks = ((now - floor.rundown.limits.skew_ms) / 1000.0).max(0.0) as u64;
+        let entry = match floor.entry_keys.entry(token, by_slow_clocks, product, title) {
+            Ok(entry) if floor.revoked.contains(&entry.jti) => {
+                return Some(words(403, "this session was revoked"));
+            }
             Ok(entry) => entry,
             Err(fault) => return Some(words(fault.status(), &fault.to_string())),
         };
@@ -365,7 +436,12 @@
         match floor.book.ask(now, &request, key) {
             Asked::Foreign => Some(words(403, "this session is another viewer's or title's")),
             Asked::Full(limit) => Some(floor.away(&format!("this front is at its limit of {limit}"))),
-            Asked::Answered(answer) => Some(answer),
+            Asked::Answered(answer) if answer.status != 200 => Some(answer),
+            // The same play, with a pass whose time begins anew.
+            Asked::Answered(answer) => {
+                let play = floor.book.by_id(&entry.jti);
+                Some(play.and_then(|play| floor.manifest_of(play)).unwrap_or(answer))
+            }
             Asked::Joined => {
                 floor.wait_for(key, floor.book.by_id(&entry.jti).unwrap_or(0));
                 None
@@ -782,6 +858,7 @@
                 Clock::Queue => self.admit_waiting(),
                 Clock::Session(play) => self.session_due(now, play),
                 Clock::List => self.look_at_list(),
+                Clock::Keys => self.look_at_keys(),
                 Clock::Accept => self.floor.take_connections(true),
                 Clock::Stop => self.give_up(),
             }
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -12,13 +12,13 @@
 use pulleystair::{Figure, Outcome};
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
-use pulleystair_admission::reads::{Budget, Fault, Next};
+use pulleystair_admission::reads::{self, Budget, Next};
 use pulleystair_dash::address;
 use pulleystair_dash::mpd::Presentation;
-use pulleystair_dash::token::{Pass, Ring};
+use pulleystair_dash::token::{Fault, Pass, Ring};
 use pulleystair_desk::Hands;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -40,6 +40,7 @@
     Session(u64),
     Queue,
     List,
+    Keys,
     Accept,
     Stop,
 }
@@ -66,6 +67,8 @@
     pub(crate) rundown: Rundown,
     pub(crate) entry_keys: Ring,
     pub(crate) pass_keys: Ring,
+    pub(crate) keys: Option<Watched>,
+    pub(crate) revoked: HashSet<String>,
     pub(crate) lines: Lines,
     pub(crate) handle: LoopHandle<'static, Edge>,
     pub(crate) door: Option<RegistrationToken>,
@@ -242,12 +245,16 @@
     }
 
     /// The play that a pass opens, if it runs here.
-    pub(crate) fn playing(&self, pass: &str) -> Result<u64, Final> {
-        let pass = self.pass_keys.pass(pass, (self.now() / 1000.0) as u64);
+    ///
+    /// Each use of a pass renews it: while its play runs it opens that play for `pass_ms` after its last use,
+    /// whatever its own time was; a player that paused for longer asks for the manifest again.
+    pub(crate) fn playing(&mut self, pass: &str) -> Result<u64, Final> {
+        let (now, limits) = (self.now(), &self.rundown.limits);
+        let pass = self.pass_keys.signed_pass(pass, (now / 1000.0) as u64);
         let pass = pass.map_err(|fault| words(fault.status(), &fault.to_string()))?;
         let gone = || words(410, "this session does not play here");
         let play = self.book.by_id(&pass.sid).ok_or_else(gone)?;
-        let session = self.book.get(play).ok_or_else(gone)?;
+        let session = self.book.get_mut(play).ok_or_else(gone)?;
         match &session.stage {
             Life::Playing(_) => {}
             Life::Over(answer) if answer.status == 410 => return Err(answer.clone()),
@@ -257,6 +264,11 @@
         if (title.product.as_str(), title.name.as_str()) != (pass.product.as_str(), pass.title.as_str()) {
             return Err(words(403, "token is for another title or product"));
         }
+        let own = pass.exp as f64 * 1000.0 + limits.skew_ms;
+        if now >= own.max(session.renewed) {
+            return Err(words(Fault::Expired.status(), &Fault::Expired.to_string()));
+        }
+        session.renewed = now + limits.pass_ms;
         Ok(play)
     }
 
@@ -266,13 +278,11 @@
         let product = &self.rundown.products[session.product];
         let last = self.rundown.ladder.len() - 1;
         let top = session.top.min(product.top.unwrap_or(last)).min(last).max(product.floor);
-        // The session may play to its end, and be silent now and then.
-        let runs = title.duration_ms as f64 * 2.0 + self.rundown.limits.play_idle_ms;
         let pass = Pass {
             sid: session.id.clone(),
             product: product.name.clone(),
             title: title.name.clone(),
-            exp: ((self.now() + runs) / 1000.0).ceil() as u64,
+            exp: ((self.now() + self.rundown.limits.pass_ms) / 1000.0).ceil() as u64,
         };
         let presentation = Presentation {
             title: title.name.clone(),
@@ -426,7 +436,7 @@
 
     /// The errand got no answer, or not all of it. A segment's read may go on, on a new connection; a word or a
     /// probe only if it was sent on a connection that the server had closed meanwhile.
-    pub(crate) fn errand_failed(&mut self, key: Key, fault: Fault) {
+    pub(crate) fn errand_failed(&mut self, key: Key, fault: reads::Fault) {
         let Some(Role::Errands { server, errand, fresh }) = self.lines.close(key) else { return };
         let now = self.now();
         let at = &mut self.servers[server as usize];
@@ -434,8 +444,8 @@
         at.idle.retain(|k| *k != key);
         let Some(mut errand) = errand else { return };
         let begun = errand.left.is_some();
-        let stale = !fresh && !begun && matches!(fault, Fault::Broken | Fault::Unreachable);
-        let fault = if stale { Fault::Stale } else { fault };
+        let stale = !fresh && !begun && matches!(fault, reads::Fault::Broken | reads::Fault::Unreachable);
+        let fault = if stale { reads::Fault::Stale } else { fault };
         let next = match &errand.reading {
             Some(reading) => at.budget.after(now, &self.rundown.reads.terms(), &reading.so_far(), fault),
             None if stale => Next::Again { from: 0 },
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -167,7 +167,7 @@
 
 /// A file that is looked at again and again.
 pub struct Watched {
-    file: PathBuf,
+    pub file: PathBuf,
     seen: Option<(u64, u64, i64, i64)>,
 }
 
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -1,6 +1,7 @@
 //! `pulleystair-edge`: runs a front, or checks and shows the rundown it would run by.
 
 use clap::{Parser, Subcommand, ValueEnum};
+use pulleystair_edge::edge::{self, read_list, stop_signals};
 use pulleystair_edge::rundown::Rundown;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -58,12 +59,13 @@
 }
 
 fn run(command: Command) -> anyhow::Result<()> {
+    let stop = stop_signals()?;
     let _guard = logs(&command)?;
     match command.job {
-        Job::Run { rundown } => pulleystair_edge::edge::run(Rundown::read(&rundown)?),
+        Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop),
         Job::Check { rundown } => {
             let it = Rundown::read(&rundown)?;
-            let list = pulleystair_edge::edge::read_list(&it)?;
+            let list = read_list(&it)?;
             println!(
                 "{}: good; {} products, {} rungs, {} servers, {} titles",
                 rundown.display(),
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -39,8 +39,49 @@
     #[serde(default)]
     pub admission: Admission,
     /// Keys of the portal's entry tokens, and of this fleet's session tokens; the first one signs.
+    #[serde(default)]
     pub entry_keys: Vec<KeyFile>,
+    #[serde(default)]
     pub pass_keys: Vec<KeyFile>,
+    /// A file with those keys in place of the above, looked at again and again and read when replaced.
+    pub keys: Option<PathBuf>,
+}
+
+/// The keys in service, as a file that may be replaced while plays run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    pub entry: Vec<KeyFile>,
+    pub pass: Vec<KeyFile>,
+    /// Sessions that are to end, and may not come again.
+    #[serde(default)]
+    pub revoked: Vec<String>,
+}
+
+/// Sessions that may be revoked at once.
+const MOST_REVOKED: usize = 100_000;
+
+/// Keys by their ids.
+type Secrets = Vec<(String, Vec<u8>)>;
+
+impl Keys {
+    /// Reads the file, and the secrets that it names from its folder: those of entries and those of passes.
+    pub fn read(file: &Path) -> Result<(Keys, Secrets, Secrets), Fault> {
+        let keys: Keys = load(file)?;
+        if keys.revoked.len() > MOST_REVOKED {
+            let found = format!("{} of them", keys.revoked.len());
+            return Err(refused(file, "revoked", found, "at most 100000"));
+        }
+        let folder = file.parent().unwrap_or(Path::new(""));
+        let secrets = |path: &str, keys: &[KeyFile]| {
+            let fault = |cause| Fault::Value { file: file.display().to_string(), path: path.into(), cause };
+            let secrets = secrets(folder, keys).map_err(fault)?;
+            Ring::new(&secrets).map_err(|e| fault(e.to_string()))?;
+            Ok(secrets)
+        };
+        let (entry, pass) = (secrets("entry", &keys.entry)?, secrets("pass", &keys.pass)?);
+        Ok((keys, entry, pass))
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -201,8 +242,14 @@
     pub remember_ms: f64,
     /// A viewer whose connection closed while the set-up is out may come back for its answer within this.
     pub come_back_ms: f64,
-    /// How often the list's file is looked at.
+    /// How often the files of the list and of the keys are looked at.
     pub list_poll_ms: f64,
+    pub keys_poll_ms: f64,
+    /// A session token opens its play for so long after its last use; clocks may be so far apart; a key that was
+    /// taken out is read for so long.
+    pub pass_ms: f64,
+    pub skew_ms: f64,
+    pub key_overlap_ms: f64,
     /// After a signal to stop, plays may run on for so long.
     pub stop_ms: f64,
 }
@@ -231,6 +278,10 @@
             remember_ms: 30_000.0,
             come_back_ms: 500.0,
             list_poll_ms: 50.0,
+            keys_poll_ms: 500.0,
+            pass_ms: 60_000.0,
+            skew_ms: 5_000.0,
+            key_overlap_ms: 120_000.0,
             stop_ms: 10_000.0,
         }
     }
@@ -307,7 +358,7 @@
 #[serde(deny_unknown_fields)]
 pub struct KeyFile {
     pub kid: String,
-    /// The secret's bytes, a line end after them left out; from the rundown's folder.
+    /// The secret's bytes, a line end after them left out; from the folder of the file that names it.
     pub file: PathBuf,
 }
 
@@ -322,16 +373,18 @@
         it.check().map_err(|(path, found, allowed)| refused(file, &path, found, allowed))?;
         let folder = file.parent().unwrap_or(Path::new(""));
         it.list = folder.join(&it.list);
+        it.keys = it.keys.map(|keys| folder.join(keys));
         for key in it.entry_keys.iter_mut().chain(&mut it.pass_keys) {
             key.file = folder.join(&key.file);
         }
-        for (path, keys) in [("entry_keys", &it.entry_keys), ("pass_keys", &it.pass_keys)] {
-            ring(keys).map_err(|cause| Fault::Value {
-                file: file.display().to_string(),
-                path: path.into(),
-                cause,
-            })?;
+        if it.keys.is_some() && !(it.entry_keys.is_empty() && it.pass_keys.is_empty()) {
+            return Err(refused(file, "keys", "entry_keys or pass_keys beside it", "either, not both"));
         }
+        it.rings().map_err(|(path, cause)| Fault::Value {
+            file: file.display().to_string(),
+            path: path.into(),
+            cause,
+        })?;
         Ok(it)
     }
 
@@ -481,11 +534,15 @@
             ("remember_ms", l.remember_ms),
             ("come_back_ms", l.come_back_ms),
             ("list_poll_ms", l.list_poll_ms),
+            ("keys_poll_ms", l.keys_poll_ms),
+            ("pass_ms", l.pass_ms),
+            ("key_overlap_ms", l.key_overlap_ms),
             ("stop_ms", l.stop_ms),
         ];
         for (name, x) in times {
             positive(&format!("limits.{name}"), x)?;
         }
+        from_0("limits.skew_ms", l.skew_ms)?;
         if l.list_poll_ms > self.rules.drain_grace_ms {
             let allowed = "a time no longer than rules.drain_grace_ms";
             return Err(("limits.list_poll_ms".into(), l.list_poll_ms.to_string(), allowed));
@@ -563,16 +620,32 @@
     }
 }
 
-/// Reads the keys of a ring from their files.
-pub fn ring(keys: &[KeyFile]) -> Result<Ring, String> {
-    let mut secrets = Vec::new();
-    for key in keys {
-        let mut secret = std::fs::read(&key.file)
-            .map_err(|e| format!("key {:?}: {}: {e}", key.kid, key.file.display()))?;
+/// The secrets of keys, from their files; a line end after them is left out.
+fn secrets(folder: &Path, keys: &[KeyFile]) -> Result<Secrets, String> {
+    let read = |key: &KeyFile| {
+        let file = folder.join(&key.file);
+        let secret = std::fs::read(&file);
+        let mut secret = secret.map_err(|e| format!("key {:?}: {}: {e}", key.kid, file.display()))?;
         while secret.last().is_some_and(|b| b"\r\n".contains(b)) {
             secret.pop();
         }
-        secrets.push((key.kid.clone(), secret));
+        Ok((key.kid.clone(), secret))
+    };
+    keys.iter().map(read).collect()
+}
+
+impl Rundown {
+    /// The rings of entries and of passes, and the sessions revoked; a fault comes with its path.
+    pub fn rings(&self) -> Result<(Ring, Ring, Vec<String>), (&'static str, String)> {
+        let ring = |path, secrets: &Secrets| Ring::new(secrets).map_err(|e| (path, e.to_string()));
+        if let Some(file) = &self.keys {
+            let (keys, entry, pass) = Keys::read(file).map_err(|e| ("keys", e.to_string()))?;
+            return Ok((ring("keys", &entry)?, ring("keys", &pass)?, keys.revoked));
+        }
+        let of = |path, keys: &[KeyFile]| {
+            let secrets = secrets(Path::new(""), keys).map_err(|e| (path, e))?;
+            ring(path, &secrets)
+        };
+        Ok((of("entry_keys", &self.entry_keys)?, of("pass_keys", &self.pass_keys)?, Vec::new()))
     }
-    Ring::new(&secrets).map_err(|e| e.to_string())
 }
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -51,6 +51,8 @@
     pub started: f64,
     pub last_asked: f64,
     pub fetching: usize,
+    /// Until when its pass opens it, by its last use.
+    pub renewed: f64,
     /// Its last segment has been delivered.
     pub complete: bool,
     /// Until when its answer is kept.
@@ -187,6 +189,7 @@
             started: 0.0,
             last_asked: now,
             fetching: 0,
+            renewed: 0.0,
             complete: false,
             until: 0.0,
         };
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -39,16 +39,18 @@
 pub async fn run(rundown: &Path) -> Result<()> {
     let folder = rundown.parent().unwrap_or(Path::new(""));
     let it: Value = serde_json::from_slice(&std::fs::read(rundown)?)?;
-    let ring = |keys: &str| -> Result<Ring> {
-        let key = &it[keys][0];
+    let keys = it["keys"].as_str().context("a rundown names its keys")?;
+    let keys: Value = serde_json::from_slice(&std::fs::read(folder.join(keys))?)?;
+    let ring = |of: &str| -> Result<Ring> {
+        let key = &keys[of][0];
         let file = key["file"].as_str().context("a key has its file")?;
         let kid = key["kid"].as_str().unwrap_or("").to_string();
         Ok(Ring::new(&[(kid, std::fs::read(folder.join(file))?)])?)
     };
     let since = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let base = Arc::new(Base {
-        entries: ring("entry_keys")?,
-        passes: ring("pass_keys")?,
+        entries: ring("entry")?,
+        passes: ring("pass")?,
         list: folder.join(it["list"].as_str().unwrap_or("list.json")),
         run: format!("b{since:x}{:x}", std::process::id()),
         rnd: Mutex::new(StdRng::seed_from_u64(it["seed"].as_u64().unwrap_or(0))),
