--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -35,6 +35,20 @@
     std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default()
 }
 
+/// The most set-ups that were out at once.
+fn most_out(house: &House) -> i32 {
+    let (mut out, mut most) = (0, 0);
+    for seen in house.log.taken() {
+        match seen.what {
+            What::SetUp { .. } => out += 1,
+            What::Done { .. } => out -= 1,
+            _ => {}
+        }
+        most = most.max(out);
+    }
+    most
+}
+
 fn asked_for(seen: &[Seen]) -> usize {
     seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
 }
@@ -396,15 +410,7 @@
         limited += usize::from(at_limit);
     }
     assert!(played >= 100 && limited >= 100, "{played} played, {limited} were told of the limit");
-    let (mut out, mut most) = (0i32, 0);
-    for seen in house.log.taken() {
-        match seen.what {
-            What::SetUp { .. } => out += 1,
-            What::Done { .. } => out -= 1,
-            _ => {}
-        }
-        most = most.max(out);
-    }
+    let most = most_out(&house);
     assert!(most <= 200, "{most} set-ups out at once");
     house.kept();
 }
@@ -430,15 +436,7 @@
         crowded += usize::from(answer.status == 503 && text(&answer).contains("too many plays"));
     }
     assert!(played >= 8 && crowded >= 100, "{played} played, {crowded} were told");
-    let (mut out, mut most) = (0i32, 0);
-    for seen in house.log.taken() {
-        match seen.what {
-            What::SetUp { .. } => out += 1,
-            What::Done { .. } => out -= 1,
-            _ => {}
-        }
-        most = most.max(out);
-    }
+    let most = most_out(&house);
     assert!(most <= 8, "{most} set-ups out at once");
     house.kept();
 }
