--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`limit`] adapts how many plays may be decided at once to measured set-up delay; [`queue`] chooses who of
 //! those that wait is taken next and who is told at once that there is no time left; [`reads`] decides what
 //! becomes of a segment's read that failed, within a budget that keeps a sick server from being buried by its
-//! own repeats. Where a play goes, and every allocation of it, stays with the placing module.
+//! own repeats; [`lag`] whether a front's own loop is behind. Where a play goes, and every allocation of it, stays with the placing module.
 
+pub mod lag;
 pub mod limit;
 pub mod queue;
 pub mod reads;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -16,6 +16,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::lag::Lag;
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{Budget, Fault};
@@ -91,6 +92,8 @@
         let wait = edge.floor.next_clock();
         event_loop.dispatch(wait, &mut edge)?;
         edge.ring();
+        let now = edge.floor.now();
+        edge.floor.lag.round_ends(now);
     }
     info!(target: "front", left = edge.floor.book.held().len(), "stopped");
     Ok(())
@@ -125,6 +128,7 @@
             queue: Queue::new(rundown.admission.queue()),
             limit: Limit::new(rundown.admission.limit()),
             out: 0,
+            lag: Lag::default(),
             handle,
             door: None,
             book: Book::new(bounds),
@@ -297,6 +301,8 @@
     }
 
     pub(crate) fn line_ready(&mut self, key: Key) {
+        let now = self.floor.now();
+        self.floor.lag.works(now);
         let Some(line) = self.floor.lines.get(key) else { return };
         match &line.role {
             Role::Player(_) => self.player(key),
@@ -433,6 +439,10 @@
         if floor.stopping && floor.book.by_id(&entry.jti).is_none() {
             return Some(floor.away("this front is stopping"));
         }
+        let behind = floor.lag.behind(now, floor.rundown.admission.behind_ms);
+        if behind && floor.book.by_id(&entry.jti).is_none() {
+            return Some(floor.away("this front is behind with its work"));
+        }
         match floor.book.ask(now, &request, key) {
             Asked::Foreign => Some(words(403, "this session is another viewer's or title's")),
             Asked::Full(limit) => Some(floor.away(&format!("this front is at its limit of {limit}"))),
@@ -850,7 +860,8 @@
             if self.floor.clocks.peek().is_none_or(|c| c.0.0 as f64 / 1000.0 > now) {
                 return;
             }
-            let Some(Reverse((_, clock))) = self.floor.clocks.pop() else { return };
+            let Some(Reverse((due, clock))) = self.floor.clocks.pop() else { return };
+            self.floor.lag.rang(now, due as f64 / 1000.0);
             match clock {
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -10,6 +10,7 @@
 use crate::sessions::{Book, Final, Stage as Life};
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::lag::Lag;
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{self, Budget, Next};
@@ -77,6 +78,7 @@
     pub(crate) queue: Queue,
     pub(crate) limit: Limit,
     pub(crate) out: usize,
+    pub(crate) lag: Lag,
     pub(crate) watched: Watched,
     /// Every title ever listed has a number of its own; what is listed now is told beside what it is.
     pub(crate) titles: HashMap<(usize, String), usize>,
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -326,6 +326,8 @@
     pub queue: usize,
     pub crowded_ms: f64,
     pub reserve_ms: f64,
+    /// While this front's own loop is behind by more than this, it takes no further plays.
+    pub behind_ms: f64,
 }
 
 impl Default for Admission {
@@ -339,6 +341,7 @@
             queue: 1_000,
             crowded_ms: 200.0,
             reserve_ms: 300.0,
+            behind_ms: 50.0,
         }
     }
 }
@@ -501,6 +504,7 @@
         count("admission.sample", self.admission.sample, 100_000)?;
         count("admission.queue", self.admission.queue, 1_000_000)?;
         from_0("admission.crowded_ms", self.admission.crowded_ms)?;
+        positive("admission.behind_ms", self.admission.behind_ms)?;
         from_0("admission.reserve_ms", self.admission.reserve_ms)?;
         count("reads.tries", self.reads.tries, 100)?;
         positive("reads.patience_ms", self.reads.patience_ms)?;
