--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -632,6 +632,10 @@
     house.kept();
 }
 
+async fn says_that_it_stops(house: &House) {
+    house.until_true("it says so", || log_of(house).contains("stopping: no new plays")).await;
+}
+
 async fn signal(house: &House) {
     let id = house.fronts.process(0).expect("the front runs").to_string();
     let sent = tokio::process::Command::new("kill").args(["-TERM", &id]).status().await;
@@ -646,12 +650,7 @@
     let waiting = house.ask_at(0, "waits", FREE).await;
     house.until("its set-up", |seen| asked_for(seen) == 2).await;
     signal(&house).await;
-    house
-        .until_true("it says so", || {
-            let log = log_of(&house);
-            log.contains("stopping: no new plays")
-        })
-        .await;
+    says_that_it_stops(&house).await;
     assert_eq!(house.get(&house.manifest("new", FREE)).await.status, 503);
     let held = waiting.answer().await;
     assert_eq!(held.status, 200, "what it had taken is answered");
@@ -682,12 +681,7 @@
     let house = House::of(day).await;
     assert_eq!(house.ask("s", FREE).await.status, 200);
     signal(&house).await;
-    house
-        .until_true("it says so", || {
-            let log = log_of(&house);
-            log.contains("stopping: no new plays")
-        })
-        .await;
+    says_that_it_stops(&house).await;
     signal(&house).await;
     let ended = tokio::time::timeout(Duration::from_secs(30), house.fronts.ended(0)).await;
     assert_eq!(ended, Ok(true), "ten minutes were not waited for");
