--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -250,14 +250,19 @@
         }
     }
 
+    /// Gives up a play that is not decided: it waits for its turn, or is in the desk's hands.
+    fn give_up_on(&mut self, play: u64, cause: &'static str, answer: Final) {
+        self.floor.over(play, cause, answer);
+        if !self.floor.queue.left(play) {
+            self.desk.left(play, &mut self.floor);
+        }
+    }
+
     /// Ends a session that may no longer be.
     fn revoke(&mut self, play: u64) {
         match self.floor.book.get(play).map(|s| &s.stage) {
             Some(Life::Deciding) => {
-                self.floor.over(play, "revoked", words(403, "this session was revoked"));
-                if !self.floor.queue.left(play) {
-                    self.desk.left(play, &mut self.floor);
-                }
+                self.give_up_on(play, "revoked", words(403, "this session was revoked"));
             }
             Some(Life::Playing(_)) => self.finish(play, "revoked"),
             _ => {}
@@ -291,8 +296,7 @@
             let Ok(key) = floor.lines.open(stream, Role::Player(Doing::Reading)) else { continue };
             floor.players += 1;
             if floor.players > floor.rundown.limits.connections {
-                let mut answer = words(503, "this front has all the connections it takes");
-                answer.retry_after = Some(floor.retry_after());
+                let answer = floor.away("this front has all the connections it takes");
                 floor.leave(key, &answer);
             } else {
                 floor.set_due(key, floor.now() + floor.rundown.limits.idle_ms);
@@ -529,8 +533,8 @@
         session.last_asked = now;
         session.fetching += 1;
         let (rung, server) = (rung.min(session.rung), session.server.unwrap_or(0));
-        let name = format!("{}-{play}-{}", floor.run, session.allocations);
-        let target = format!("/plays/{name}/{rung}/{number}");
+        let n = session.allocations;
+        let target = format!("{}/{rung}/{number}", floor.allocation(play, n));
         if let Some(line) = floor.lines.get(key) {
             line.role = Role::Player(Doing::Fetching(play));
         }
@@ -556,7 +560,7 @@
         if let Some(line) = line {
             floor.lines.close(line);
         }
-        let target = format!("/plays/{}-{play}-{n}", floor.run);
+        let target = floor.allocation(play, n);
         let request = floor.request_to(server, "DELETE", &target, "");
         floor
             .run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
@@ -930,10 +934,8 @@
         match session.stage {
             Life::Over(_) => floor.book.forget(play),
             Life::Deciding => {
-                floor.over(play, "viewer gone", words(410, "the viewer left before the play was set up"));
-                if !floor.queue.left(play) {
-                    self.desk.left(play, &mut self.floor);
-                }
+                let answer = words(410, "the viewer left before the play was set up");
+                self.give_up_on(play, "viewer gone", answer);
             }
             Life::Playing(_) if session.fetching > 0 => {
                 if let Some(session) = floor.book.get_mut(play) {
@@ -969,11 +971,7 @@
         for play in self.floor.book.held() {
             let deciding = self.floor.book.get(play).is_some_and(|s| s.stage == Life::Deciding);
             if deciding {
-                let answer = words(504, "this front has stopped");
-                self.floor.over(play, "front stopped", answer);
-                if !self.floor.queue.left(play) {
-                    self.desk.left(play, &mut self.floor);
-                }
+                self.give_up_on(play, "front stopped", words(504, "this front has stopped"));
             } else {
                 self.finish(play, "front stopped");
             }
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -339,6 +339,11 @@
 
     // ---- servers ----
 
+    /// Where a server has a play's so-many-th allocation: its name is never used again, by this run or another.
+    pub(crate) fn allocation(&self, play: u64, n: usize) -> String {
+        format!("/plays/{}-{play}-{n}", self.run)
+    }
+
     pub(crate) fn request_to(&self, server: u32, method: &str, target: &str, body: &str) -> Vec<u8> {
         let address = self.servers[server as usize].address;
         let length =
@@ -552,7 +557,7 @@
             "rung": rung,
             "session": session.id,
         });
-        let target = format!("/plays/{}-{play}-{n}", self.run);
+        let target = self.allocation(play, n);
         let request = self.request_to(server, "POST", &target, &body.to_string());
         match self.dial(server, Role::Allocation { play, server, stage: Stage::Asked }) {
             Ok(key) => {
@@ -585,7 +590,7 @@
         else {
             return;
         };
-        let target = format!("/plays/{}-{play}-{n}", self.run);
+        let target = self.allocation(play, n);
         let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
         self.run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
     }
