Put a session's whole life in one table and test it over random interleavings

The book's rules were spread over its methods. LIVES now names every step a session can take, one function takes them, and a proptest runs random interleavings against it: answered once, one allocation out at most, ended once, bounds kept. A set-up that the table does not allow no longer goes out, whatever asked for it.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,7 @@
 use crate::listing::{Known, List, Watched};
 use crate::reading::Reading;
 use crate::rundown::{Keys, Rundown};
-use crate::sessions::{Asked, Book, Bounds, Final, Request, Stage as Life};
+use crate::sessions::{Asked, Book, Bounds, Final, Request, Life};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
@@ -260,11 +260,11 @@
 
     /// Ends a session that may no longer be.
     fn revoke(&mut self, play: u64) {
-        match self.floor.book.get(play).map(|s| &s.stage) {
-            Some(Life::Deciding) => {
+        match self.floor.book.get(play).map(|s| s.life()) {
+            Some(Life::Asked | Life::Out) => {
                 self.give_up_on(play, "revoked", words(403, "this session was revoked"));
             }
-            Some(Life::Playing(_)) => self.finish(play, "revoked"),
+            Some(Life::Playing) => self.finish(play, "revoked"),
             _ => {}
         }
     }
@@ -533,7 +533,7 @@
         session.last_asked = now;
         session.fetching += 1;
         let (rung, server) = (rung.min(session.rung), session.server.unwrap_or(0));
-        let n = session.allocations;
+        let n = session.allocations();
         let target = format!("{}/{rung}/{number}", floor.allocation(play, n));
         if let Some(line) = floor.lines.get(key) {
             line.role = Role::Player(Doing::Fetching(play));
@@ -554,7 +554,7 @@
         let floor = &mut self.floor;
         let now = floor.now();
         let Some(session) = floor.book.get_mut(play) else { return };
-        let (Some(server), line, n) = (session.server, session.line.take(), session.allocations) else {
+        let (Some(server), line, n) = (session.server, session.line.take(), session.allocations()) else {
             return;
         };
         if let Some(line) = line {
@@ -678,29 +678,26 @@
         let now = self.floor.now();
         let mut closed = false;
         if let Some(session) = self.floor.book.get_mut(play) {
-            let was = (session.server.take(), session.line.take());
-            if let Some(line) = was.1 {
+            if let Some(line) = session.line.take() {
                 self.floor.lines.close(line);
             }
-            closed = matches!(self.floor.book.get(play).map(|s| &s.stage), Some(Life::Playing(_)));
+            closed = self.floor.book.get(play).is_some_and(|s| s.life() == Life::Playing);
             if closed {
                 let lost = outcome != Outcome::Finished;
                 let cause = if lost { "server lost" } else { "server ended it" };
-                if let Some(session) = self.floor.book.get_mut(play) {
-                    session.server = was.0;
-                }
                 self.floor.over(play, cause, words(410, cause));
             } else {
                 debug!(target: "play", play, server = self.floor.name(server), ?outcome, "allocation ended");
             }
         }
-        if !closed {
+        if self.floor.book.back(play) {
             let floor = &mut self.floor;
             // What is refused as too much, or not done in time, says that servers are behind.
             if matches!(outcome, Outcome::Full | Outcome::TimedOut) {
                 floor.limit.lost(floor.out);
             }
             floor.out = floor.out.saturating_sub(1);
+            floor.session_clock(play);
         }
         self.desk.ended(now, play, server, outcome, closed, load, &mut self.floor);
     }
@@ -884,7 +881,7 @@
     fn time_out(&mut self, now: f64, play: u64, n: usize) {
         let floor = &mut self.floor;
         let Some(session) = floor.book.get(play) else { return };
-        if session.allocations != n || session.stage != Life::Deciding {
+        if session.allocations() != n || session.life() != Life::Out {
             return;
         }
         let (Some(server), Some(key)) = (session.server, session.line) else { return };
@@ -931,19 +928,19 @@
         if floor.book.due(play, idle, floor.rundown.limits.come_back_ms).is_none_or(|due| due > now) {
             return floor.session_clock(play);
         }
-        match session.stage {
-            Life::Over(_) => floor.book.forget(play),
-            Life::Deciding => {
+        match session.life() {
+            Life::Ending | Life::Over => floor.book.forget(play),
+            Life::Asked | Life::Out => {
                 let answer = words(410, "the viewer left before the play was set up");
                 self.give_up_on(play, "viewer gone", answer);
             }
-            Life::Playing(_) if session.fetching > 0 => {
+            Life::Playing if session.fetching > 0 => {
                 if let Some(session) = floor.book.get_mut(play) {
                     session.last_asked = now;
                 }
                 floor.session_clock(play);
             }
-            Life::Playing(_) => {
+            Life::Playing => {
                 let cause = if session.complete { "watched to the end" } else { "viewer silent" };
                 self.finish(play, cause);
             }
@@ -969,7 +966,7 @@
     /// The time to run on has passed: what is in hand gets its final answer.
     fn give_up(&mut self) {
         for play in self.floor.book.held() {
-            let deciding = self.floor.book.get(play).is_some_and(|s| s.stage == Life::Deciding);
+            let deciding = self.floor.book.get(play).is_some_and(|s| s.life().deciding());
             if deciding {
                 self.give_up_on(play, "front stopped", words(504, "this front has stopped"));
             } else {
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -7,7 +7,7 @@
 use crate::listing::{Title, Watched};
 use crate::reading::Head;
 use crate::rundown::Rundown;
-use crate::sessions::{Book, Final, Stage as Life};
+use crate::sessions::{Book, Final, Life};
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
 use pulleystair_admission::lag::Lag;
@@ -257,10 +257,9 @@
         let gone = || words(410, "this session does not play here");
         let play = self.book.by_id(&pass.sid).ok_or_else(gone)?;
         let session = self.book.get_mut(play).ok_or_else(gone)?;
-        match &session.stage {
-            Life::Playing(_) => {}
-            Life::Over(answer) if answer.status == 410 => return Err(answer.clone()),
-            _ => return Err(gone()),
+        if session.life() != Life::Playing {
+            let told = session.answer().filter(|answer| answer.status == 410);
+            return Err(told.cloned().unwrap_or_else(gone));
         }
         let title = &session.show;
         if (title.product.as_str(), title.name.as_str()) != (pass.product.as_str(), pass.title.as_str()) {
@@ -311,7 +310,7 @@
             title = session.show.name,
             server = session.server.map_or("", |s| self.name(s)),
             rung = session.rung,
-            allocations = session.allocations,
+            allocations = session.allocations(),
             set_up_ms = set_up,
             played_ms = played,
         );
@@ -499,7 +498,7 @@
         if errand.reading.is_some_and(|r| r.so_far().given.is_some()) {
             return self.player_cut(player);
         }
-        let over = !matches!(self.book.get(play).map(|s| &s.stage), Some(Life::Playing(_)));
+        let over = self.book.get(play).is_none_or(|s| s.life() != Life::Playing);
         let answer = match status {
             _ if over => words(410, "this session has ended"),
             503 => self.away(why),
@@ -544,13 +543,14 @@
 impl Hands for Floor {
     fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
         let now = self.now();
-        let Some(session) = self.book.get_mut(play) else { return };
-        session.server = Some(server);
-        session.rung = rung;
-        session.sent = now;
-        session.allocations += 1;
+        let Some(n) = self.book.send(now, play, server, rung) else {
+            // Rule 2: what the book does not allow does not go out.
+            error!(target: "play", play, server = self.name(server), "not sent: the play has no such step");
+            return self.news.push_back(News { play, server, outcome: Outcome::NeverSent });
+        };
         self.out += 1;
-        let (n, product) = (session.allocations, session.product);
+        let Some(session) = self.book.get(play) else { return };
+        let product = session.product;
         let body = serde_json::json!({
             "title": session.show.name,
             "product": self.rundown.products[product].name,
@@ -586,7 +586,7 @@
     fn step(&mut self, play: u64, rung: usize) {
         let Some(session) = self.book.get_mut(play) else { return };
         session.rung = rung;
-        let (Life::Playing(_), Some(server), n) = (&session.stage, session.server, session.allocations)
+        let (Life::Playing, Some(server), n) = (session.life(), session.server, session.allocations())
         else {
             return;
         };
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -2,7 +2,8 @@
 //! answer was. Free of I/O; the caller hands in the time and small keys for the connections that wait.
 //!
 //! A session is asked for, then plays or not, then is over; it is answered once, and whoever asks again with
-//! the same session within `remember` gets that same answer.
+//! the same session within `remember` gets that same answer. [`LIVES`] is the whole of it: a step that is not in
+//! that table does not happen.
 
 use crate::listing::Title;
 use std::collections::HashMap;
@@ -18,11 +19,55 @@
     pub retry_after: Option<u64>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
-pub enum Stage {
-    Deciding,
-    Playing(Final),
-    Over(Final),
+/// Where a session is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Asked for, and no allocation out.
+    Asked,
+    /// Asked for, and one allocation out.
+    Out,
+    Playing,
+    /// Over and answered, with an allocation that is still to be given up.
+    Ending,
+    Over,
+}
+
+/// What happens to a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// An allocation goes out.
+    Send,
+    /// The allocation that was out is out no more, and nothing plays.
+    Back,
+    /// Its first frame is at hand.
+    Plays,
+    /// It gets its final answer, or the play that ran has ended.
+    Ends,
+    /// Its answer is kept no longer.
+    Forget,
+}
+
+/// The whole life of a session: from there, by this, to there; none is the end of it.
+pub const LIVES: [(Life, Step, Option<Life>); 8] = [
+    (Life::Asked, Step::Send, Some(Life::Out)),
+    (Life::Asked, Step::Ends, Some(Life::Over)),
+    (Life::Out, Step::Back, Some(Life::Asked)),
+    (Life::Out, Step::Plays, Some(Life::Playing)),
+    (Life::Out, Step::Ends, Some(Life::Ending)),
+    (Life::Playing, Step::Ends, Some(Life::Over)),
+    (Life::Ending, Step::Back, Some(Life::Over)),
+    (Life::Over, Step::Forget, None),
+];
+
+impl Life {
+    /// Not answered yet.
+    pub fn deciding(self) -> bool {
+        matches!(self, Life::Asked | Life::Out)
+    }
+
+    pub fn over(self) -> bool {
+        matches!(self, Life::Ending | Life::Over)
+    }
 }
 
 #[derive(Debug)]
@@ -36,14 +81,16 @@
     pub top: usize,
     pub came: f64,
     pub limit: f64,
-    pub stage: Stage,
+    life: Life,
+    /// What was answered; none while it is being decided.
+    answer: Option<Final>,
     /// Connections that wait for the answer.
     pub waiters: Vec<u64>,
     /// Since when nobody has waited, while it is being decided.
     pub alone_since: f64,
     /// Where the latest allocation went, how many there were, when it went, and the connection that carries it.
     pub server: Option<u32>,
-    pub allocations: usize,
+    allocations: usize,
     pub sent: f64,
     pub line: Option<u64>,
     pub rung: usize,
@@ -59,6 +106,21 @@
     until: f64,
 }
 
+impl Session {
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    pub fn answer(&self) -> Option<&Final> {
+        self.answer.as_ref()
+    }
+
+    /// How many allocations there were.
+    pub fn allocations(&self) -> usize {
+        self.allocations
+    }
+}
+
 /// What a manifest request comes to.
 #[derive(Debug, PartialEq)]
 pub enum Asked {
@@ -128,9 +190,53 @@
         self.playing
     }
 
+    /// The one place where a session's life goes on; false where the table has no such step.
+    fn step(&mut self, play: u64, step: Step) -> bool {
+        let Some(session) = self.sessions.get_mut(&play) else { return false };
+        let was = session.life;
+        let Some((_, _, next)) = LIVES.iter().find(|(from, by, _)| (*from, *by) == (was, step)) else {
+            return false;
+        };
+        self.deciding -= usize::from(was.deciding());
+        self.playing -= usize::from(was == Life::Playing);
+        match next {
+            Some(life) => {
+                session.life = *life;
+                self.deciding += usize::from(life.deciding());
+                self.playing += usize::from(*life == Life::Playing);
+            }
+            None => {
+                let id = std::mem::take(&mut session.id);
+                self.sessions.remove(&play);
+                self.by_id.remove(&id);
+            }
+        }
+        true
+    }
+
+    /// An allocation goes to this server: which one of the play's it is, or none where it may not be.
+    pub fn send(&mut self, now: f64, play: u64, server: u32, rung: usize) -> Option<usize> {
+        if !self.step(play, Step::Send) {
+            return None;
+        }
+        let session = self.sessions.get_mut(&play)?;
+        (session.server, session.rung, session.sent) = (Some(server), rung, now);
+        session.allocations += 1;
+        Some(session.allocations)
+    }
+
+    /// The allocation that was out is out no more, and nothing of it plays.
+    pub fn back(&mut self, play: u64) -> bool {
+        let back = self.step(play, Step::Back);
+        if let Some(session) = self.sessions.get_mut(&play).filter(|_| back) {
+            session.server = None;
+        }
+        back
+    }
+
     /// The plays that are not over.
     pub fn held(&self) -> Vec<u64> {
-        let held = self.sessions.iter().filter(|(_, s)| !matches!(s.stage, Stage::Over(_)));
+        let held = self.sessions.iter().filter(|(_, s)| !s.life.over());
         let mut held: Vec<u64> = held.map(|(play, _)| *play).collect();
         held.sort_unstable();
         held
@@ -144,18 +250,17 @@
             if same != (it.viewer, it.product, it.title) {
                 return Asked::Foreign;
             }
-            return match &session.stage {
-                Stage::Playing(answer) => {
+            if let Some(answer) = &session.answer {
+                if session.life == Life::Playing {
                     session.last_asked = now;
-                    Asked::Answered(answer.clone())
-                }
-                Stage::Over(answer) => Asked::Answered(answer.clone()),
-                Stage::Deciding if session.waiters.len() >= self.bounds.waiters => Asked::Full("waiters"),
-                Stage::Deciding => {
-                    session.waiters.push(waiter);
-                    Asked::Joined
                 }
-            };
+                return Asked::Answered(answer.clone());
+            }
+            if session.waiters.len() >= self.bounds.waiters {
+                return Asked::Full("waiters");
+            }
+            session.waiters.push(waiter);
+            return Asked::Joined;
         }
         let full = [
             ("deciding", self.deciding >= self.bounds.deciding),
@@ -178,7 +283,8 @@
             top: it.top,
             came: now,
             limit: it.limit,
-            stage: Stage::Deciding,
+            life: Life::Asked,
+            answer: None,
             waiters: vec![waiter],
             alone_since: now,
             server: None,
@@ -202,32 +308,28 @@
         let Some(session) = self.sessions.get_mut(&play) else { return false };
         session.waiters.retain(|w| *w != waiter);
         session.alone_since = now;
-        session.waiters.is_empty() && session.stage == Stage::Deciding
+        session.waiters.is_empty() && session.life.deciding()
     }
 
     /// The play plays: its answer, and the connections to give it to.
     pub fn plays(&mut self, now: f64, play: u64, answer: Final) -> Vec<u64> {
-        let Some(session) = self.sessions.get_mut(&play) else { return Vec::new() };
-        if session.stage != Stage::Deciding {
+        if !self.step(play, Step::Plays) {
             return Vec::new();
         }
-        self.deciding -= 1;
-        self.playing += 1;
+        let Some(session) = self.sessions.get_mut(&play) else { return Vec::new() };
         (session.started, session.last_asked) = (now, now);
-        session.stage = Stage::Playing(answer);
+        session.answer = Some(answer);
         std::mem::take(&mut session.waiters)
     }
 
     /// The play is over: what whoever asks from now on is answered, and the connections that still wait. A
     /// play that is over stays as it is.
     pub fn over(&mut self, now: f64, play: u64, answer: Final) -> Vec<u64> {
-        let Some(session) = self.sessions.get_mut(&play) else { return Vec::new() };
-        match session.stage {
-            Stage::Deciding => self.deciding -= 1,
-            Stage::Playing(_) => self.playing -= 1,
-            Stage::Over(_) => return Vec::new(),
+        if !self.step(play, Step::Ends) {
+            return Vec::new();
         }
-        session.stage = Stage::Over(answer);
+        let Some(session) = self.sessions.get_mut(&play) else { return Vec::new() };
+        session.answer = Some(answer);
         session.until = now + self.bounds.remember;
         std::mem::take(&mut session.waiters)
     }
@@ -236,27 +338,23 @@
     /// nobody may wait (`alone`).
     pub fn due(&self, play: u64, idle: f64, alone: f64) -> Option<f64> {
         let session = self.sessions.get(&play)?;
-        match session.stage {
-            Stage::Deciding if session.waiters.is_empty() => Some(session.alone_since + alone),
-            Stage::Deciding => None,
-            Stage::Playing(_) => Some(session.last_asked + idle),
-            Stage::Over(_) => Some(session.until),
+        match session.life {
+            Life::Asked | Life::Out => session.waiters.is_empty().then_some(session.alone_since + alone),
+            Life::Playing => Some(session.last_asked + idle),
+            Life::Ending | Life::Over => Some(session.until),
         }
     }
 
     /// Forgets a session that is over.
     pub fn forget(&mut self, play: u64) {
-        if self.sessions.get(&play).is_some_and(|s| matches!(s.stage, Stage::Over(_)))
-            && let Some(session) = self.sessions.remove(&play)
-        {
-            self.by_id.remove(&session.id);
-        }
+        self.step(play, Step::Forget);
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
 
     const BOUNDS: Bounds = Bounds { deciding: 2, plays: 3, sessions: 4, waiters: 2, remember: 100.0 };
 
@@ -285,6 +383,7 @@
         assert_eq!(book.ask(0.0, &request("a"), 1), Asked::New(1));
         assert_eq!(book.ask(1.0, &request("a"), 2), Asked::Joined);
         assert_eq!(book.ask(1.0, &request("a"), 3), Asked::Full("waiters"));
+        assert_eq!((book.send(1.5, 1, 7, 0), book.send(1.5, 1, 8, 0)), (Some(1), None), "one at a time");
         assert_eq!(book.plays(2.0, 1, answer(200)), [1, 2]);
         assert!(book.plays(2.0, 1, answer(200)).is_empty(), "answered once");
         assert_eq!(book.ask(3.0, &request("a"), 4), Asked::Answered(answer(200)));
@@ -307,10 +406,12 @@
     fn a_flood_is_refused_and_pushes_nothing_out() {
         let mut book = Book::new(BOUNDS);
         book.ask(0.0, &request("a"), 1);
+        book.send(0.0, 1, 0, 0);
         book.plays(0.0, 1, answer(200));
         book.ask(0.0, &request("b"), 2);
         book.ask(0.0, &request("c"), 3);
         assert_eq!(book.ask(0.0, &request("d"), 4), Asked::Full("deciding"));
+        book.send(0.0, 2, 0, 0);
         book.plays(0.0, 2, answer(200));
         assert_eq!(book.ask(0.0, &request("d"), 4), Asked::Full("plays"));
         book.over(0.0, 3, answer(503));
@@ -331,4 +432,97 @@
         assert_eq!(book.ask(6.0, &request("a"), 2), Asked::Joined);
         assert_eq!(book.due(1, 50.0, 20.0), None);
     }
+
+    #[derive(Clone, Copy, Debug)]
+    enum Does {
+        Asks(u8, u64),
+        Does(u8, Step),
+        Leaves(u8, u64),
+    }
+
+    fn does() -> impl Strategy<Value = Does> {
+        let step = prop::sample::select(vec![Step::Send, Step::Back, Step::Plays, Step::Ends, Step::Forget]);
+        prop_oneof![
+            3 => (0u8..6, 0u64..30).prop_map(|(s, c)| Does::Asks(s, c)),
+            6 => (0u8..6, step).prop_map(|(s, step)| Does::Does(s, step)),
+            1 => (0u8..6, 0u64..30).prop_map(|(s, c)| Does::Leaves(s, c)),
+        ]
+    }
+
+    proptest! {
+        /// Whatever comes in whatever order: a connection is answered at most once for each time it asked, a
+        /// play has one allocation out at most, ends once, and is never answered anew; bounds hold.
+        #[test]
+        fn every_interleaving_keeps_to_one_life(all in prop::collection::vec(does(), 1..300)) {
+            let mut book = Book::new(BOUNDS);
+            // By play: allocations out, ends, the answer; and who waits for which.
+            let (mut out, mut ended, mut told) = (HashMap::new(), HashMap::new(), HashMap::<u64, Final>::new());
+            let mut waits: Vec<(u64, u64)> = Vec::new();
+            for (at, it) in all.into_iter().enumerate() {
+                let now = at as f64;
+                let name = |s: u8| ["a", "b", "c", "d", "e", "f"][s as usize];
+                match it {
+                    Does::Asks(s, connection) => match book.ask(now, &request(name(s)), connection) {
+                        Asked::New(play) => waits.push((play, connection)),
+                        Asked::Joined => waits.push((book.by_id(name(s)).unwrap(), connection)),
+                        Asked::Answered(answer) => {
+                            prop_assert_eq!(told.get(&book.by_id(name(s)).unwrap()), Some(&answer));
+                        }
+                        Asked::Full(_) => {}
+                        Asked::Foreign => prop_assert!(false, "it is the same viewer's"),
+                    },
+                    Does::Leaves(s, connection) => {
+                        if let Some(play) = book.by_id(name(s)) {
+                            book.gone(now, play, connection);
+                            waits.retain(|w| *w != (play, connection));
+                        }
+                    }
+                    Does::Does(s, step) => {
+                        let Some(play) = book.by_id(name(s)) else { continue };
+                        let was = book.get(play).unwrap().life();
+                        let answered = match step {
+                            Step::Send => {
+                                if book.send(now, play, 0, 0).is_some() {
+                                    *out.entry(play).or_insert(0) += 1;
+                                }
+                                Vec::new()
+                            }
+                            Step::Back => {
+                                if book.back(play) {
+                                    *out.entry(play).or_insert(0) -= 1;
+                                }
+                                Vec::new()
+                            }
+                            Step::Plays => book.plays(now, play, answer(200)),
+                            Step::Ends => book.over(now, play, answer(500 + at as u16)),
+                            Step::Forget => {
+                                book.forget(play);
+                                Vec::new()
+                            }
+                        };
+                        let is = book.get(play).map(|s| s.life());
+                        if !was.over() && is.is_some_and(Life::over) {
+                            *ended.entry(play).or_insert(0) += 1;
+                        }
+                        if let Some(session) = book.get(play) {
+                            prop_assert!(was.deciding() || session.answer().is_some());
+                            session.answer().map(|a| told.insert(play, a.clone()));
+                        }
+                        let mut expected: Vec<u64> = Vec::new();
+                        if was.deciding() && !is.is_some_and(Life::deciding) {
+                            expected = waits.iter().filter(|w| w.0 == play).map(|w| w.1).collect();
+                            waits.retain(|w| w.0 != play);
+                        }
+                        prop_assert_eq!(answered, expected, "{:?} by {:?}", was, step);
+                    }
+                }
+                prop_assert!(out.values().all(|n| (0..=1).contains(n)), "{out:?}");
+                prop_assert!(ended.values().all(|n| *n <= 1));
+                let held = book.held();
+                prop_assert_eq!(book.deciding() + book.playing(), held.len());
+                prop_assert!(book.deciding() <= BOUNDS.deciding && held.len() <= BOUNDS.plays);
+                prop_assert!(book.sessions.len() <= BOUNDS.sessions && book.sessions.len() == book.by_id.len());
+            }
+        }
+    }
 }
