--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -4,6 +4,10 @@
 //! The gradient form: the limit is scaled by undisturbed delay over present delay, with room for a small queue.
 //! Against additive increase and multiplicative decrease it settles near the capacity instead of sawing, and it
 //! reacts to how much delay grew and not only that it did; see `docs/notes/dash-path.md`.
+//!
+//! The front's own work is a second bound: each play that is out will ask for a decision more, at the worst all of
+//! them at once, and what they wait for is this front. So no more are out than it can decide in a stated time, by
+//! what decisions were seen to take.
 
 /// Bounds and pace of a limit.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +20,8 @@
     pub slack: f64,
     /// So many outcomes make a sample.
     pub sample: usize,
+    /// All that is out can be decided once more within so many ms.
+    pub work: f64,
 }
 
 /// Part by which a sample moves the limit.
@@ -24,6 +30,8 @@
 const DRIFT: f64 = 0.002;
 /// A sample halves the limit at most.
 const HALF: f64 = 0.5;
+/// Part by which one decision moves what decisions are reckoned to take: a hundred of them make it.
+const RECENT: f64 = 0.02;
 
 #[derive(Clone, Debug)]
 pub struct Limit {
@@ -36,17 +44,27 @@
     /// The most that was in hand while the sample was taken, and whether anything was lost for lack of time.
     in_hand: usize,
     lost: usize,
+    /// What a decision takes, ms.
+    decision: f64,
 }
 
 impl Limit {
     pub fn new(terms: Terms) -> Limit {
         // Begins in the middle of what it may be: a front that starts into a crowd must not open wide.
         let limit = (terms.least * terms.most).sqrt().clamp(terms.least, terms.most);
-        Limit { terms, limit, undisturbed: None, sum: 0.0, count: 0, in_hand: 0, lost: 0 }
+        Limit { terms, limit, undisturbed: None, sum: 0.0, count: 0, in_hand: 0, lost: 0, decision: 0.0 }
     }
 
     pub fn now(&self) -> usize {
-        self.limit.floor().max(1.0) as usize
+        let by_work = if self.decision > 0.0 { self.terms.work / self.decision } else { f64::INFINITY };
+        self.limit.min(by_work).floor().max(1.0) as usize
+    }
+
+    /// A decision took so many ms.
+    pub fn decided(&mut self, took: f64) {
+        if took.is_finite() && took >= 0.0 {
+            self.decision += RECENT * (took - self.decision);
+        }
     }
 
     /// A play was set up after this delay, with so many in hand.
@@ -101,7 +119,8 @@
 mod tests {
     use super::*;
 
-    const TERMS: Terms = Terms { least: 4.0, most: 1000.0, tolerance: 1.5, slack: 0.0, sample: 10 };
+    const TERMS: Terms =
+        Terms { least: 4.0, most: 1000.0, tolerance: 1.5, slack: 0.0, sample: 10, work: 200.0 };
 
     /// A fleet that sets up so many at once in 20 ms, and queues what is more.
     fn delay(in_hand: usize, capacity: usize) -> f64 {
@@ -148,6 +167,18 @@
         assert!(limit.now() < start);
     }
 
+    #[test]
+    fn no_more_are_out_than_can_be_decided_in_time() {
+        let mut limit = Limit::new(Terms { most: 1e6, ..TERMS });
+        run(&mut limit, 1_000_000, 1_000_000, 100_000);
+        (0..1000).for_each(|_| limit.decided(0.1));
+        assert!((1900..=2100).contains(&limit.now()), "{}", limit.now());
+        (0..1000).for_each(|_| limit.decided(5.0));
+        assert!((39..=41).contains(&limit.now()), "{}", limit.now());
+        (0..1000).for_each(|_| limit.decided(5000.0));
+        assert_eq!(limit.now(), 1, "one at a time goes on, whatever the least");
+    }
+
     #[test]
     fn a_quiet_hour_does_not_open_it() {
         let mut limit = Limit::new(TERMS);
--- a/crates/boxes/src/lib.rs
+++ b/crates/boxes/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod content;
 pub mod log;
+pub mod papers;
 pub mod server;
 pub mod wire;
 pub mod world;
--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{sleep, timeout};
+use tokio_rustls::TlsAcceptor;
 
 /// A title as servers know it.
 #[derive(Clone, Debug)]
@@ -37,6 +38,8 @@
     lives: Vec<watch::Sender<u64>>,
     ends: Mutex<HashMap<String, Arc<Notify>>>,
     rnd: Mutex<StdRng>,
+    /// One a server: how its connections are sealed, where they are.
+    seals: Mutex<Vec<Option<TlsAcceptor>>>,
 }
 
 /// Stand-in servers, listening until dropped.
@@ -67,6 +70,7 @@
             log,
             ends: Mutex::default(),
             rnd: Mutex::new(StdRng::seed_from_u64(seed)),
+            seals: Mutex::new(vec![None; count]),
         });
         let mut addresses = Vec::new();
         for server in 0..count {
@@ -91,6 +95,11 @@
         self.shared.world()
     }
 
+    /// How a server's connections are sealed from now on.
+    pub fn seal(&self, server: usize, seal: Option<TlsAcceptor>) {
+        self.shared.seals.lock().expect("nobody dies while sealing")[server] = seal;
+    }
+
     /// Ends a server's process: its connections are reset, new ones refused.
     pub fn stop(&self, server: usize) {
         self.shared.stop(server);
@@ -178,7 +187,8 @@
 }
 
 async fn serve(shared: &Arc<Shared>, server: usize, stream: TcpStream) -> io::Result<()> {
-    let mut peer = Peer::new(stream);
+    let seal = shared.seals.lock().expect("nobody dies while sealing")[server].clone();
+    let mut peer = Peer::take(stream, seal).await?;
     while let Some(request) = peer.request().await? {
         let silent = shared.world().servers[server].ails.silent;
         let path: Vec<&str> = request.target.split('/').skip(1).collect();
--- a/crates/boxes/src/wire.rs
+++ b/crates/boxes/src/wire.rs
@@ -2,8 +2,12 @@
 //! show on the other.
 
 use std::io;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio_rustls::{TlsAcceptor, TlsConnector, TlsStream};
 
 const HEAD: usize = 16 << 10;
 /// Bodies that a stand-in reads whole.
@@ -36,16 +40,78 @@
     io::Error::new(io::ErrorKind::InvalidData, what.to_string())
 }
 
+/// A stream, sealed by TLS or not.
+pub enum Wire {
+    Plain(TcpStream),
+    Sealed(Box<TlsStream<TcpStream>>),
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, context: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Wire::Plain(it) => Pin::new(it).poll_read(context, buffer),
+            Wire::Sealed(it) => Pin::new(it).poll_read(context, buffer),
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Wire::Plain(it) => Pin::new(it).poll_write(context, bytes),
+            Wire::Sealed(it) => Pin::new(it).poll_write(context, bytes),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Wire::Plain(it) => Pin::new(it).poll_flush(context),
+            Wire::Sealed(it) => Pin::new(it).poll_flush(context),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Wire::Plain(it) => Pin::new(it).poll_shutdown(context),
+            Wire::Sealed(it) => Pin::new(it).poll_shutdown(context),
+        }
+    }
+}
+
 /// A connection with what was read ahead.
 pub struct Peer {
-    pub stream: TcpStream,
+    pub stream: Wire,
     pub ahead: Vec<u8>,
 }
 
 impl Peer {
     pub fn new(stream: TcpStream) -> Peer {
         let _ = stream.set_nodelay(true);
-        Peer { stream, ahead: Vec::new() }
+        Peer { stream: Wire::Plain(stream), ahead: Vec::new() }
+    }
+
+    /// Calls a server, under TLS by this name where a connector is given.
+    pub async fn call(at: SocketAddr, seal: Option<(&TlsConnector, &str)>) -> io::Result<Peer> {
+        let stream = TcpStream::connect(at).await?;
+        let _ = stream.set_nodelay(true);
+        let stream = match seal {
+            Some((connector, name)) => {
+                let name = name.to_string().try_into().map_err(io::Error::other)?;
+                Wire::Sealed(Box::new(connector.connect(name, stream).await?.into()))
+            }
+            None => Wire::Plain(stream),
+        };
+        Ok(Peer { stream, ahead: Vec::new() })
+    }
+
+    /// Takes a caller, under TLS where an acceptor is given.
+    pub async fn take(stream: TcpStream, seal: Option<TlsAcceptor>) -> io::Result<Peer> {
+        let _ = stream.set_nodelay(true);
+        let stream = match seal {
+            Some(acceptor) => Wire::Sealed(Box::new(acceptor.accept(stream).await?.into())),
+            None => Wire::Plain(stream),
+        };
+        Ok(Peer { stream, ahead: Vec::new() })
     }
 
     /// Reads more; false at the peer's end.
@@ -136,12 +202,17 @@
     }
 
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        self.stream.write_all(bytes).await?;
+        self.stream.flush().await
     }
 
     /// Closes by a reset instead of an orderly end.
     pub fn reset(self) {
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
+        let stream = match &self.stream {
+            Wire::Plain(it) => it,
+            Wire::Sealed(it) => it.get_ref().0,
+        };
+        let _ = socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO));
     }
 }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,8 @@
 use crate::listing::{Known, List, Watched};
 use crate::reading::Reading;
 use crate::rundown::{Keys, Rundown};
-use crate::sessions::{Asked, Book, Bounds, Final, Request, Life};
+use crate::seals::Seals;
+use crate::sessions::{Asked, Book, Bounds, Final, Life, Request};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
@@ -51,6 +52,7 @@
         kinds: rundown.fleet.kinds.iter().map(|k| k.name.as_str()).collect(),
         products: rundown.products.iter().map(|p| p.name.as_str()).collect(),
         cells: rundown.fleet.cells,
+        sealed: rundown.tls.servers.is_some(),
     }
 }
 
@@ -59,10 +61,10 @@
     List::read(&rundown.list, &known(rundown))
 }
 
-/// The signals to stop, held back for the loop to read. To be called before any thread starts: a thread that does
+/// The signals to stop and to look at all files anew, held back for the loop to read. To be called before any thread starts: a thread that does
 /// not hold them back would end the process.
 pub fn stop_signals() -> anyhow::Result<Signals> {
-    Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?)
+    Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?)
 }
 
 /// Starts a front and runs it until it is told to stop.
@@ -86,7 +88,10 @@
             Ok(PostAction::Continue)
         })?;
     edge.floor.door = Some(door);
-    handle.insert_source(stop, |_, (), edge| edge.stop())?;
+    handle.insert_source(stop, |event, (), edge| match event.signal() {
+        Signal::SIGHUP => edge.look_at_all(),
+        _ => edge.stop(),
+    })?;
     info!(target: "front", %address, servers = edge.floor.servers.len(), "listens");
     while !edge.floor.done() {
         let wait = edge.floor.next_clock();
@@ -119,10 +124,12 @@
         });
         let mut watched = Watched::new(rundown.list.clone());
         watched.replaced();
+        let seals = Seals::read(&rundown.tls, since.as_secs())?;
         let floor = Floor {
             entry_keys,
             pass_keys,
             keys,
+            seals,
             revoked: revoked.into_iter().collect(),
             lines: Lines::new(handle.clone()),
             queue: Queue::new(rundown.admission.queue()),
@@ -161,7 +168,6 @@
 
     fn look_at_list(&mut self) {
         let floor = &mut self.floor;
-        floor.clock(floor.now() + floor.rundown.limits.list_poll_ms, Clock::List);
         if !floor.watched.replaced() {
             return;
         }
@@ -211,21 +217,41 @@
         self.desk.list(now, true, false, &lines);
     }
 
-    // ---- keys ----
+    // ---- keys and certificates ----
+
+    /// Puts replaced certificates in service. Connections of players live on; idle ones to servers are closed, for
+    /// they were made with servers that another set vouched for.
+    fn look_at_seals(&mut self) {
+        let floor = &mut self.floor;
+        let near = (floor.rundown.limits.expiry_ms / 1000.0) as u64;
+        if floor.seals.look((floor.now() / 1000.0) as u64, near) {
+            let idle: Vec<Key> = floor.servers.iter_mut().flat_map(|s| std::mem::take(&mut s.idle)).collect();
+            idle.into_iter().for_each(|key| floor.drop_errands_line(key));
+        }
+    }
+
+    /// Told to look at all files now.
+    fn look_at_all(&mut self) {
+        info!(target: "front", "looks at list, keys and certificates anew");
+        self.floor.watched.again();
+        self.floor.keys.iter_mut().for_each(Watched::again);
+        self.floor.seals.again();
+        self.look_at_list();
+        self.look_at_keys();
+        self.look_at_seals();
+    }
 
     /// Puts replaced keys in service: checked whole first, so that of a bad set nothing is taken.
     fn look_at_keys(&mut self) {
         let floor = &mut self.floor;
         let now = floor.now();
-        let limits = &floor.rundown.limits;
-        let (poll, overlap) = (limits.keys_poll_ms, (limits.key_overlap_ms / 1000.0).ceil() as u64);
-        floor.clock(now + poll, Clock::Keys);
+        let overlap = (floor.rundown.limits.key_overlap_ms / 1000.0).ceil() as u64;
         let Some(watched) = floor.keys.as_mut() else { return };
         if !watched.replaced() {
             return;
         }
         let now = (now / 1000.0) as u64;
-        let taken = Keys::read(&watched.file).map_err(|e| e.to_string()).and_then(|(keys, entry, pass)| {
+        let taken = Keys::read(watched.file()).map_err(|e| e.to_string()).and_then(|(keys, entry, pass)| {
             let (entries, passes) = (&mut floor.entry_keys, &mut floor.pass_keys);
             // Both are asked before either is changed.
             entries
@@ -293,13 +319,20 @@
             if limits.send_buffer_bytes > 0 {
                 let _ = socket2::SockRef::from(&stream).set_send_buffer_size(limits.send_buffer_bytes);
             }
-            let Ok(key) = floor.lines.open(stream, Role::Player(Doing::Reading)) else { continue };
+            let seal = floor.seals.players.as_ref().map(|s| rustls::ServerConnection::new(s.terms.clone()));
+            let Ok(seal) = seal.transpose() else { continue };
+            let sealed = seal.is_some();
+            let seal = seal.map(rustls::Connection::from);
+            let Ok(key) = floor.lines.open(stream, seal, Role::Player(Doing::Reading)) else { continue };
             floor.players += 1;
             if floor.players > floor.rundown.limits.connections {
                 let answer = floor.away("this front has all the connections it takes");
                 floor.leave(key, &answer);
             } else {
-                floor.set_due(key, floor.now() + floor.rundown.limits.idle_ms);
+                // A handshake is to come whole in the time that a request has.
+                let limits = &floor.rundown.limits;
+                let wait = if sealed { limits.header_ms } else { limits.idle_ms };
+                floor.set_due(key, floor.now() + wait);
             }
         }
     }
@@ -356,7 +389,7 @@
                 _ => return,
             }
             if line.input.is_empty() {
-                if line.due.is_infinite() {
+                if line.has_shaken_hands() || line.due.is_infinite() {
                     floor.set_due(key, now + idle);
                 }
                 return;
@@ -472,7 +505,7 @@
     fn admit_or_wait(&mut self, now: f64, play: u64) {
         let floor = &mut self.floor;
         if floor.queue.is_empty() && floor.out < floor.limit.now() {
-            return self.admit(now, play);
+            return self.admit(play);
         }
         let limit = floor.book.get(play).map_or(now, |s| s.limit);
         let until = limit - floor.rundown.admission.reserve_ms;
@@ -484,7 +517,8 @@
         }
     }
 
-    fn admit(&mut self, now: f64, play: u64) {
+    fn admit(&mut self, play: u64) {
+        let now = self.floor.now();
         let Some(session) = self.floor.book.get(play) else { return };
         let wish = Wish {
             product: session.product,
@@ -496,6 +530,7 @@
             limit: session.limit,
         };
         self.desk.take(now, play, &wish, &mut self.floor);
+        self.floor.limit.decided(self.floor.now() - now);
     }
 
     /// Tells those for whom it is too late, and takes up whoever may be.
@@ -506,7 +541,7 @@
         }
         while self.floor.out < self.floor.limit.now() {
             let Some(play) = self.floor.queue.next(now) else { return };
-            self.admit(now, play);
+            self.admit(play);
         }
     }
 
@@ -579,13 +614,20 @@
             line.flush();
         }
         line.read(http::ANSWER_HEAD.max(2 * NOTE_LINE));
+        // Reading may have been the end of a handshake, the good or the bad one.
+        let connected = line.connected();
         let ended = line.ended || connected == Some(false);
+        let unsealed = line.unsealed.take();
         let Role::Allocation { play, server, stage } = &mut line.role else { return };
         let (play, server) = (*play, *server);
         if let Stage::Asked = stage {
+            if let Some(e) = unsealed {
+                warn!(target: "server", server = self.floor.name(server), "set-up's connection: TLS: {e}");
+            }
             if connected == Some(false) {
                 return self.allocation_ended(play, server, Outcome::Unreachable, &[]);
             }
+            let Some(line) = self.floor.lines.get(key) else { return };
             match http::answer(&line.input) {
                 Ok(None) if ended => return self.allocation_ended(play, server, Outcome::Broken, &[]),
                 Ok(None) => return,
@@ -700,6 +742,7 @@
             floor.session_clock(play);
         }
         self.desk.ended(now, play, server, outcome, closed, load, &mut self.floor);
+        self.floor.limit.decided(self.floor.now() - now);
     }
 
     /// Tells the desk what was found while it was busy.
@@ -869,8 +912,15 @@
                 Clock::Line(key) => self.line_due(now, key),
                 Clock::Queue => self.admit_waiting(),
                 Clock::Session(play) => self.session_due(now, play),
-                Clock::List => self.look_at_list(),
-                Clock::Keys => self.look_at_keys(),
+                Clock::List => {
+                    self.floor.clock(now + self.floor.rundown.limits.list_poll_ms, Clock::List);
+                    self.look_at_list();
+                }
+                Clock::Keys => {
+                    self.floor.clock(now + self.floor.rundown.limits.keys_poll_ms, Clock::Keys);
+                    self.look_at_keys();
+                    self.look_at_seals();
+                }
                 Clock::Accept => self.floor.take_connections(true),
                 Clock::Stop => self.give_up(),
             }
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -7,6 +7,7 @@
 use crate::listing::{Title, Watched};
 use crate::reading::Head;
 use crate::rundown::Rundown;
+use crate::seals::Seals;
 use crate::sessions::{Book, Final, Life};
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
@@ -69,6 +70,7 @@
     pub(crate) entry_keys: Ring,
     pub(crate) pass_keys: Ring,
     pub(crate) keys: Option<Watched>,
+    pub(crate) seals: Seals,
     pub(crate) revoked: HashSet<String>,
     pub(crate) lines: Lines,
     pub(crate) handle: LoopHandle<'static, Edge>,
@@ -362,7 +364,17 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
-        self.lines.open(TcpStream::from(socket), role)
+        let seal = match &self.seals.servers {
+            Some(sealed) => {
+                let name =
+                    rustls::pki_types::ServerName::try_from(self.servers[server as usize].name.clone());
+                let name = name.map_err(io::Error::other)?;
+                let seal = rustls::ClientConnection::new(sealed.terms.clone(), name);
+                Some(seal.map_err(io::Error::other)?.into())
+            }
+            None => None,
+        };
+        self.lines.open(TcpStream::from(socket), seal, role)
     }
 
     /// Has the errand run on an idle connection, a new one, or once one comes free.
@@ -586,8 +598,7 @@
     fn step(&mut self, play: u64, rung: usize) {
         let Some(session) = self.book.get_mut(play) else { return };
         session.rung = rung;
-        let (Life::Playing, Some(server), n) = (session.life(), session.server, session.allocations())
-        else {
+        let (Life::Playing, Some(server), n) = (session.life(), session.server, session.allocations()) else {
             return;
         };
         let target = self.allocation(play, n);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod listing;
 pub mod reading;
 pub mod rundown;
+mod seals;
 pub mod sessions;
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -1,11 +1,15 @@
 //! The connections of a front, each a non-blocking socket with its buffers, on the event loop. A line's role
 //! tells what it is for; what happens on it is up to [`crate::edge`].
+//!
+//! A line may be sealed by TLS. Then it counts as connected only once the handshake is done, so nothing of a request
+//! has gone to a server whose handshake failed; and what waits in the seal counts as waiting to be written.
 
 use crate::edge::Edge;
 use crate::http::Chunks;
 use crate::reading::Reading;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustls::Connection as Seal;
 use slab::Slab;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -15,6 +19,8 @@
 pub type Key = u64;
 
 const READ: usize = 16 << 10;
+/// Bytes that are handed to a seal at a time.
+const SEALED: usize = 64 << 10;
 
 pub enum Role {
     /// A player's connection.
@@ -71,6 +77,9 @@
 
 pub struct Line {
     stream: Rc<TcpStream>,
+    seal: Option<Box<Seal>>,
+    /// Why the handshake, or what came under the seal, was not taken.
+    pub unsealed: Option<rustls::Error>,
     source: RegistrationToken,
     pub role: Role,
     pub keep_alive: bool,
@@ -83,6 +92,7 @@
     pub ended: bool,
     shut: bool,
     connected: bool,
+    shaken: bool,
 }
 
 impl Line {
@@ -92,7 +102,18 @@
         let mut part = [0; READ];
         while !self.ended && self.input.len() < most {
             let room = (most - self.input.len()).min(READ);
-            match (&*self.stream).read(&mut part[..room]) {
+            let came = match self.seal.as_mut() {
+                Some(seal) => match unseal(seal, &self.stream, &mut part[..room], &mut self.unsealed) {
+                    // A seal that was broken tells the peer why, if that can still go out.
+                    Err(e) if self.unsealed.is_some() => {
+                        let _ = seal.write_tls(&mut &*self.stream);
+                        Err(e)
+                    }
+                    came => came,
+                },
+                None => (&*self.stream).read(&mut part[..room]),
+            };
+            match came {
                 Ok(0) => self.ended = true,
                 Ok(n) => self.input.extend_from_slice(&part[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -109,16 +130,24 @@
 
     /// Bytes that wait to be written.
     pub fn pending(&self) -> usize {
-        self.output.len() - self.sent
+        let sealed = self.seal.as_ref().is_some_and(|seal| seal.wants_write());
+        self.output.len() - self.sent + usize::from(sealed)
     }
 
     /// Writes what the socket takes; true if anything went.
     pub fn flush(&mut self) -> bool {
         let mut went = false;
-        while self.sent < self.output.len() {
-            match (&*self.stream).write(&self.output[self.sent..]) {
-                Ok(0) => break,
-                Ok(n) => (self.sent, went) = (self.sent + n, true),
+        while self.pending() > 0 {
+            let left = &self.output[self.sent..];
+            let wrote = match self.seal.as_mut() {
+                Some(seal) if seal.wants_write() => seal.write_tls(&mut &*self.stream).map(|n| (n, 0)),
+                Some(seal) if seal.is_handshaking() => break,
+                Some(seal) => seal.writer().write(&left[..left.len().min(SEALED)]).map(|n| (n, n)),
+                None => (&*self.stream).write(left).map(|n| (n, n)),
+            };
+            match wrote {
+                Ok((0, _)) => break,
+                Ok((_, taken)) => (self.sent, went) = (self.sent + taken, true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // Not connected yet, or full.
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
@@ -144,11 +173,15 @@
     pub fn shut(&mut self) {
         if !self.shut {
             self.shut = true;
+            if let Some(seal) = self.seal.as_mut() {
+                seal.send_close_notify();
+                self.flush();
+            }
             let _ = self.stream.shutdown(Shutdown::Write);
         }
     }
 
-    /// Whether the connection could be made; none while it is under way.
+    /// Whether the connection could be made, its seal included; none while it is under way.
     pub fn connected(&mut self) -> Option<bool> {
         if !self.connected {
             match self.stream.take_error() {
@@ -156,8 +189,57 @@
                 _ => return Some(false),
             }
         }
+        if self.connected && self.shakes_hands() {
+            self.flush();
+            self.read(READ);
+            self.flush();
+            if self.shakes_hands() {
+                return self.ended.then_some(false);
+            }
+        }
         self.connected.then_some(true)
     }
+
+    fn shakes_hands(&self) -> bool {
+        self.seal.as_ref().is_some_and(|seal| seal.is_handshaking())
+    }
+
+    /// True once: when the handshake of a sealed line is found to be done.
+    pub fn has_shaken_hands(&mut self) -> bool {
+        let done = !self.shaken && self.seal.is_some() && !self.shakes_hands();
+        self.shaken |= done;
+        done
+    }
+}
+
+/// Reads what came under a seal, as from a stream.
+fn unseal(
+    seal: &mut Seal,
+    stream: &TcpStream,
+    part: &mut [u8],
+    unsealed: &mut Option<rustls::Error>,
+) -> io::Result<usize> {
+    loop {
+        match seal.reader().read(part) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+        if !seal.wants_read() {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        let ended = seal.read_tls(&mut &*stream)? == 0;
+        if let Err(e) = seal.process_new_packets() {
+            *unsealed = Some(e);
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        if ended && seal.is_handshaking() {
+            return Ok(0);
+        }
+        // What a handshake asks for, and what ends it, goes out at once; what does not waits for the line's turn.
+        if seal.wants_write() {
+            let _ = seal.write_tls(&mut &*stream);
+        }
+    }
 }
 
 pub struct Lines {
@@ -171,7 +253,7 @@
         Lines { lines: Slab::new(), generation: 0, handle }
     }
 
-    pub fn open(&mut self, stream: TcpStream, role: Role) -> io::Result<Key> {
+    pub fn open(&mut self, stream: TcpStream, seal: Option<Seal>, role: Role) -> io::Result<Key> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         self.generation = self.generation.wrapping_add(1);
@@ -188,6 +270,8 @@
             .map_err(|e| io::Error::other(e.error))?;
         let line = Line {
             stream,
+            seal: seal.map(Box::new),
+            unsealed: None,
             source,
             role,
             keep_alive: true,
@@ -198,6 +282,7 @@
             ended: false,
             shut: false,
             connected: false,
+            shaken: false,
         };
         entry.insert((self.generation, line));
         Ok(key)
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -61,6 +61,8 @@
     pub kinds: Vec<&'a str>,
     pub products: Vec<&'a str>,
     pub cells: usize,
+    /// Servers are known by certificates, which must bear their names.
+    pub sealed: bool,
 }
 
 /// The longest title, ms: a day.
@@ -92,6 +94,10 @@
             if seen.insert(&server.name, i).is_some() {
                 return Err((path("name"), format!("{:?}", server.name), "a name that no other server has"));
             }
+            if known.sealed && rustls::pki_types::DnsName::try_from(server.name.as_str()).is_err() {
+                let allowed = "a host's name, for its certificate must bear it";
+                return Err((path("name"), format!("{:?}", server.name), allowed));
+            }
             if !known.zones.contains(&server.zone) {
                 return Err((path("zone"), format!("{:?}", server.zone), "one of the rundown's zones"));
             }
@@ -165,23 +171,44 @@
     }
 }
 
-/// A file that is looked at again and again.
+/// Files that belong together and are looked at again and again.
 pub struct Watched {
-    pub file: PathBuf,
-    seen: Option<(u64, u64, i64, i64)>,
+    /// The first one must be there: without it the others are not looked at.
+    files: Vec<PathBuf>,
+    seen: Vec<Option<(u64, u64, i64, i64)>>,
 }
 
 impl Watched {
     pub fn new(file: PathBuf) -> Watched {
-        Watched { file, seen: None }
+        Watched { files: vec![file], seen: Vec::new() }
+    }
+
+    /// The files of a folder by their names.
+    pub fn folder(folder: &Path, names: &[&str]) -> Watched {
+        Watched { files: names.iter().map(|name| folder.join(name)).collect(), seen: Vec::new() }
+    }
+
+    pub fn file(&self) -> &Path {
+        &self.files[0]
     }
 
-    /// Whether the file is another than when last looked at. A file that is away is not another one.
+    /// Whether a file is another than when last looked at. A first file that is away is not another one.
     pub fn replaced(&mut self) -> bool {
-        let Ok(meta) = std::fs::metadata(&self.file) else { return false };
-        let now = Some((meta.ino(), meta.size(), meta.mtime(), meta.mtime_nsec()));
+        let look = |file: &PathBuf| {
+            let meta = std::fs::metadata(file).ok()?;
+            Some((meta.ino(), meta.size(), meta.mtime(), meta.mtime_nsec()))
+        };
+        let now: Vec<_> = self.files.iter().map(look).collect();
+        if now[0].is_none() {
+            return false;
+        }
         let replaced = now != self.seen;
         self.seen = now;
         replaced
     }
+
+    /// Looks at them anew the next time, whether they were replaced or not.
+    pub fn again(&mut self) {
+        self.seen.clear();
+    }
 }
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -45,6 +45,18 @@
     pub pass_keys: Vec<KeyFile>,
     /// A file with those keys in place of the above, looked at again and again and read when replaced.
     pub keys: Option<PathBuf>,
+    #[serde(default)]
+    pub tls: Tls,
+}
+
+/// Folders of certificates, looked at like the keys; a side that is left out is not sealed.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tls {
+    /// `chain.pem`, `key.pem`, `authority.pem`, and `viewers.pem` where players must show a certificate.
+    pub players: Option<PathBuf>,
+    /// `authority.pem`, and `chain.pem` with `key.pem` where media servers ask for one.
+    pub servers: Option<PathBuf>,
 }
 
 /// The keys in service, as a file that may be replaced while plays run.
@@ -242,7 +254,7 @@
     pub remember_ms: f64,
     /// A viewer whose connection closed while the set-up is out may come back for its answer within this.
     pub come_back_ms: f64,
-    /// How often the files of the list and of the keys are looked at.
+    /// How often the files of the list, and those of keys and certificates, are looked at.
     pub list_poll_ms: f64,
     pub keys_poll_ms: f64,
     /// A session token opens its play for so long after its last use; clocks may be so far apart; a key that was
@@ -250,6 +262,8 @@
     pub pass_ms: f64,
     pub skew_ms: f64,
     pub key_overlap_ms: f64,
+    /// A certificate that runs out within this is told of in the log.
+    pub expiry_ms: f64,
     /// After a signal to stop, plays may run on for so long.
     pub stop_ms: f64,
 }
@@ -282,6 +296,7 @@
             pass_ms: 60_000.0,
             skew_ms: 5_000.0,
             key_overlap_ms: 120_000.0,
+            expiry_ms: 7.0 * 86_400_000.0,
             stop_ms: 10_000.0,
         }
     }
@@ -326,8 +341,10 @@
     pub queue: usize,
     pub crowded_ms: f64,
     pub reserve_ms: f64,
-    /// While this front's own loop is behind by more than this, it takes no further plays.
+    /// While this front's own loop is behind by more than this, it takes no further plays; and no more set-ups are
+    /// out than it could decide on once more within that time.
     pub behind_ms: f64,
+    pub work_ms: f64,
 }
 
 impl Default for Admission {
@@ -342,14 +359,15 @@
             crowded_ms: 200.0,
             reserve_ms: 300.0,
             behind_ms: 50.0,
+            work_ms: 200.0,
         }
     }
 }
 
 impl Admission {
     pub fn limit(&self) -> limit::Terms {
-        let Admission { least, most, tolerance, slack_ms: slack, sample, .. } = *self;
-        limit::Terms { least, most, tolerance, slack, sample }
+        let Admission { least, most, tolerance, slack_ms: slack, sample, work_ms: work, .. } = *self;
+        limit::Terms { least, most, tolerance, slack, sample, work }
     }
 
     pub fn queue(&self) -> queue::Terms {
@@ -377,6 +395,8 @@
         let folder = file.parent().unwrap_or(Path::new(""));
         it.list = folder.join(&it.list);
         it.keys = it.keys.map(|keys| folder.join(keys));
+        it.tls.players = it.tls.players.map(|tls| folder.join(tls));
+        it.tls.servers = it.tls.servers.map(|tls| folder.join(tls));
         for key in it.entry_keys.iter_mut().chain(&mut it.pass_keys) {
             key.file = folder.join(&key.file);
         }
@@ -505,6 +525,7 @@
         count("admission.queue", self.admission.queue, 1_000_000)?;
         from_0("admission.crowded_ms", self.admission.crowded_ms)?;
         positive("admission.behind_ms", self.admission.behind_ms)?;
+        positive("admission.work_ms", self.admission.work_ms)?;
         from_0("admission.reserve_ms", self.admission.reserve_ms)?;
         count("reads.tries", self.reads.tries, 100)?;
         positive("reads.patience_ms", self.reads.patience_ms)?;
@@ -541,6 +562,7 @@
             ("keys_poll_ms", l.keys_poll_ms),
             ("pass_ms", l.pass_ms),
             ("key_overlap_ms", l.key_overlap_ms),
+            ("expiry_ms", l.expiry_ms),
             ("stop_ms", l.stop_ms),
         ];
         for (name, x) in times {
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -436,7 +436,7 @@
     #[derive(Clone, Copy, Debug)]
     enum Does {
         Asks(u8, u64),
-        Does(u8, Step),
+        Steps(u8, Step),
         Leaves(u8, u64),
     }
 
@@ -444,7 +444,7 @@
         let step = prop::sample::select(vec![Step::Send, Step::Back, Step::Plays, Step::Ends, Step::Forget]);
         prop_oneof![
             3 => (0u8..6, 0u64..30).prop_map(|(s, c)| Does::Asks(s, c)),
-            6 => (0u8..6, step).prop_map(|(s, step)| Does::Does(s, step)),
+            6 => (0u8..6, step).prop_map(|(s, step)| Does::Steps(s, step)),
             1 => (0u8..6, 0u64..30).prop_map(|(s, c)| Does::Leaves(s, c)),
         ]
     }
@@ -477,7 +477,7 @@
                             waits.retain(|w| *w != (play, connection));
                         }
                     }
-                    Does::Does(s, step) => {
+                    Does::Steps(s, step) => {
                         let Some(play) = book.by_id(name(s)) else { continue };
                         let was = book.get(play).unwrap().life();
                         let answered = match step {
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -32,7 +32,7 @@
 }
 
 fn log_of(house: &House) -> String {
-    std::fs::read_to_string(house.folder().join("front-0.log")).unwrap_or_default()
+    house.log_of(0)
 }
 
 /// The most set-ups that were out at once.
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -1,12 +1,13 @@
 //! A small house on loopback: stand-in servers, fronts as processes, and one player's hands. What is seen on
 //! the sockets is checked by the rules at the end of every story.
+#![allow(dead_code)] // Each file of stories uses a part of it.
 
 use pulleystair_boxes::log::Log;
 use pulleystair_boxes::wire::{Message, Peer};
 use pulleystair_boxes::world::Ails;
 use pulleystair_dash::address;
 use pulleystair_dash::token::Entry;
-use pulleystair_lab::fronts::{Program, portal};
+use pulleystair_lab::fronts::{FRONT, Program, portal};
 use pulleystair_lab::script::Day;
 use pulleystair_lab::set::Set;
 use pulleystair_witness::rules::check;
@@ -17,8 +18,8 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
+use tokio_rustls::TlsConnector;
 
 /// No event of these stories takes longer than this on any machine; it bounds a hang, and proves nothing.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -28,6 +29,7 @@
     pub at: Vec<SocketAddr>,
     folder: tempfile::TempDir,
     requests: AtomicU64,
+    seal: Option<TlsConnector>,
 }
 
 /// Two products, `free` and `paid`, each with one title that all of four servers hold.
@@ -78,7 +80,8 @@
         let program = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
         let set = Set::build(day, program, folder.path()).await.expect("the set is built");
         let at = set.start().await.expect("the fronts start");
-        House { set, at, folder, requests: AtomicU64::new(1) }
+        let seal = set.fronts.connector().expect("an authority's own connector");
+        House { set, at, folder, requests: AtomicU64::new(1), seal }
     }
 
     pub fn folder(&self) -> &Path {
@@ -115,8 +118,7 @@
 
     /// Writes a manifest request of a session; its answer is to be waited for by [`Asking::answer`].
     pub async fn ask_at(&self, front: usize, session: &str, product: usize) -> Asking {
-        let stream = TcpStream::connect(self.at[front]).await.expect("the front takes connections");
-        let mut peer = Peer::new(stream);
+        let mut peer = self.call(front).await.expect("the front takes connections");
         let request = self.requests.fetch_add(1, Ordering::Relaxed);
         self.log.saw(What::Asked {
             request,
@@ -135,6 +137,20 @@
         self.ask_at(0, session, product).await.answer().await
     }
 
+    /// A connection to a front, under TLS where the day has it.
+    pub async fn call(&self, front: usize) -> std::io::Result<Peer> {
+        Peer::call(self.at[front], self.seal.as_ref().map(|seal| (seal, FRONT))).await
+    }
+
+    pub fn log_of(&self, front: usize) -> String {
+        std::fs::read_to_string(self.folder().join(format!("front-{front}.log"))).unwrap_or_default()
+    }
+
+    /// Waits until the front has said this so many times.
+    pub async fn says(&self, what: &str, times: usize) {
+        self.until_true(what, || self.log_of(0).matches(what).count() >= times).await;
+    }
+
     /// Any other request, on a connection of its own.
     pub async fn get(&self, target: &str) -> Message {
         self.send(&get(target)).await.expect("an answer comes")
@@ -142,7 +158,7 @@
 
     /// Sends text as it is; none if the front closes without an answer.
     pub async fn send(&self, text: &str) -> Option<Message> {
-        let mut peer = Peer::new(TcpStream::connect(self.at[0]).await.ok()?);
+        let mut peer = self.call(0).await.ok()?;
         peer.write(text.as_bytes()).await.ok()?;
         tokio::time::timeout(PATIENCE, peer.answer()).await.expect("the front does something").ok()?
     }
--- /dev/null
+++ b/crates/edge/tests/sealed.rs
@@ -0,0 +1,200 @@
+//! TLS between players, a front and its servers, and certificates that are replaced, wrong or run out, each
+//! story on real sockets.
+
+mod house;
+
+use house::{House, base, day, get, text};
+use pulleystair_boxes::papers::Authority;
+use pulleystair_boxes::wire::{Peer, Wire};
+use pulleystair_lab::fronts::FRONT;
+use pulleystair_witness::{Seen, What};
+use serde_json::{Value, json};
+use std::time::{Duration, SystemTime};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+const FREE: usize = 0;
+const PAID: usize = 1;
+
+fn sealed() -> Value {
+    let mut day = day();
+    day["tls"] = json!(true);
+    day["limits"] = json!({ "keys_poll_ms": 20, "header_ms": 400 });
+    day
+}
+
+fn soon(seconds: u64) -> SystemTime {
+    SystemTime::now() + Duration::from_secs(seconds)
+}
+
+/// The certificate that a front shows on this connection.
+fn shown(peer: &Peer) -> Vec<u8> {
+    let Wire::Sealed(stream) = &peer.stream else { panic!("the connection is sealed") };
+    let (_, seal) = stream.get_ref();
+    seal.peer_certificates().expect("the front shows a certificate")[0].to_vec()
+}
+
+fn asked_for(seen: &[Seen]) -> usize {
+    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
+}
+
+#[tokio::test]
+async fn a_play_under_tls_on_both_sides() {
+    let house = House::of(sealed()).await;
+    let manifest = house.ask("s", FREE).await;
+    assert_eq!(manifest.status, 200, "{}", text(&manifest));
+    for number in 1..=4 {
+        let segment = house.get(&format!("{}1/{number}.m4s", base(&manifest))).await;
+        assert!(
+            pulleystair_boxes::content::read(&segment.body).is_some_and(|c| c.intact && c.number == number)
+        );
+    }
+    house.until("the server's end", |seen| seen.iter().any(|s| matches!(s.what, What::Closed { .. }))).await;
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_player_without_tls_and_one_that_never_shakes_hands_are_let_go() {
+    let house = House::of(sealed()).await;
+    let mut plain = Peer::new(TcpStream::connect(house.at[0]).await.unwrap());
+    plain.write(get("/").as_bytes()).await.unwrap();
+    assert!(!matches!(plain.answer().await, Ok(Some(_))), "nothing is said in the open");
+    let mut mute = TcpStream::connect(house.at[0]).await.unwrap();
+    assert_eq!(mute.read(&mut [0; 16]).await.unwrap_or(0), 0, "closed once its time is up");
+    assert_eq!(house.ask("s", FREE).await.status, 200);
+    house.kept();
+}
+
+/// Servers whose certificate the front does not take get nothing of a request, so a paid play may go elsewhere.
+#[tokio::test]
+async fn servers_with_a_wrong_or_expired_certificate_never_see_a_set_up() {
+    let mut day = sealed();
+    day["rules"]["allocations"] = json!(4);
+    for product in [FREE, PAID] {
+        day["products"][product]["time_limit_ms"] = json!(20_000);
+    }
+    let house = House::of(day).await;
+    let own = house.fronts.authority.as_ref().unwrap();
+    let foreign = Authority::default();
+    let expired = own.paper("m1", SystemTime::now() - Duration::from_secs(5));
+    let other = own.paper("m9", soon(1000));
+    let papers = [(0, foreign.paper("m0", soon(1000))), (1, expired), (2, other)];
+    for (server, paper) in &papers {
+        house.boxes.seal(*server, Some(own.acceptor(paper, None).unwrap()));
+    }
+    for n in 0..6 {
+        let product = if n % 2 == 0 { FREE } else { PAID };
+        assert_eq!(house.ask(&format!("s{n}"), product).await.status, 200);
+    }
+    assert_eq!(house.set_ups(), [3; 6], "only one server is what it says");
+    assert!(house.log_of(0).contains("TLS"), "the log tells why");
+    house.kept();
+}
+
+/// A server that wants the front's certificate and gets none says so after the request may have reached it.
+#[tokio::test]
+async fn servers_that_do_not_know_the_front_are_failures_like_others() {
+    let house = House::of(sealed()).await;
+    let own = house.fronts.authority.as_ref().unwrap();
+    let foreign = Authority::default();
+    for server in 0..4 {
+        let paper = own.paper(&format!("m{server}"), soon(1000));
+        house.boxes.seal(server, Some(own.acceptor(&paper, Some(&foreign)).unwrap()));
+    }
+    assert!([502, 503].contains(&house.ask("s", FREE).await.status));
+    assert_eq!(house.ask("p", PAID).await.status, 502, "it may have run, for all the front knows");
+    assert_eq!(asked_for(&house.log.taken()), 0);
+}
+
+#[tokio::test]
+async fn certificates_replaced_ten_times_while_plays_run_drop_nothing() {
+    let mut day = sealed();
+    day["products"][FREE]["seconds"] = json!([40, 40]);
+    let house = House::of(day).await;
+    let manifest = house.ask("s", FREE).await;
+    let target = format!("{}1/1.m4s", base(&manifest));
+    let mut kept = house.call(0).await.unwrap();
+    let mut before = shown(&kept);
+    for n in 1..=10 {
+        house.fronts.renew_papers().unwrap();
+        // One for each side.
+        house.says("certificates taken", 2 * n).await;
+        kept.write(get(&target).as_bytes()).await.unwrap();
+        assert_eq!(kept.answer().await.unwrap().unwrap().status, 200, "the old connection lives on");
+        let now = shown(&house.call(0).await.unwrap());
+        assert_ne!(now, before, "new ones get the new certificate");
+        before = now;
+        assert_eq!(house.ask(&format!("s{n}"), PAID).await.status, 200, "servers take the new one too");
+    }
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_bad_set_is_refused_whole_and_the_old_one_is_still_shown() {
+    let house = House::of(sealed()).await;
+    let before = shown(&house.call(0).await.unwrap());
+    let folder = house.folder().join("players");
+    let good = std::fs::read(folder.join("key.pem")).unwrap();
+    // A key that fits no more, then an expired set, then half of a good one.
+    std::fs::write(folder.join("key.pem"), house.fronts.paper(soon(1000)).unwrap().key).unwrap();
+    house.says("key does not fit", 1).await;
+    assert_eq!(shown(&house.call(0).await.unwrap()), before);
+    house.fronts.paper(SystemTime::now() - Duration::from_secs(60)).unwrap().put(&folder).unwrap();
+    house.says("expired", 1).await;
+    assert_eq!(shown(&house.call(0).await.unwrap()), before);
+    std::fs::write(folder.join("key.pem"), &good[..good.len() / 2]).unwrap();
+    house.says("certificates not taken", 3).await;
+    assert_eq!(shown(&house.call(0).await.unwrap()), before);
+    assert_eq!(house.ask("s", FREE).await.status, 200);
+    let log = house.log_of(0);
+    assert!(!log.contains("BEGIN") && !log.contains(&text_of(&good)[40..80]), "no key in the log");
+    // A good set is taken after bad ones.
+    house.fronts.paper(soon(1000)).unwrap().put(&folder).unwrap();
+    house.says("certificates taken", 1).await;
+    assert_ne!(shown(&house.call(0).await.unwrap()), before);
+    house.kept();
+}
+
+fn text_of(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[tokio::test]
+async fn a_certificate_that_runs_out_while_in_use_ends_no_play_and_is_told_of() {
+    let mut day = sealed();
+    day["products"][FREE]["seconds"] = json!([40, 40]);
+    let house = House::of(day).await;
+    let folder = house.folder().join("players");
+    house.fronts.paper(soon(3)).unwrap().put(&folder).unwrap();
+    house.says("certificates taken", 1).await;
+    house.says("certificate runs out soon", 1).await;
+    let mut kept = house.call(0).await.expect("it still holds");
+    let manifest = house.ask("s", FREE).await;
+    house.says("certificate has expired", 1).await;
+    let target = format!("{}1/1.m4s", base(&manifest));
+    kept.write(get(&target).as_bytes()).await.unwrap();
+    assert_eq!(kept.answer().await.unwrap().unwrap().status, 200, "what was open goes on");
+    // One that has not been here before, so nothing is taken up from an earlier connection.
+    let new = house.fronts.connector().unwrap().unwrap();
+    let refused = Peer::call(house.at[0], Some((&new, FRONT))).await;
+    assert!(refused.is_err(), "players do not take it any more");
+    house.fronts.paper(soon(1000)).unwrap().put(&folder).unwrap();
+    house.says("certificates taken", 2).await;
+    assert_eq!(house.get(&target).await.status, 200);
+    house.kept();
+}
+
+#[tokio::test]
+async fn a_signal_has_all_files_looked_at_at_once() {
+    let mut day = sealed();
+    day["limits"] = json!({ "keys_poll_ms": 3_600_000, "list_poll_ms": 300 });
+    let house = House::of(day).await;
+    let before = shown(&house.call(0).await.unwrap());
+    house.fronts.renew_papers().unwrap();
+    let process = house.fronts.process(0).unwrap().to_string();
+    assert!(std::process::Command::new("kill").args(["-HUP", &process]).status().unwrap().success());
+    house.says("certificates taken", 2).await;
+    assert_ne!(shown(&house.call(0).await.unwrap()), before);
+    assert_eq!(house.ask("s", FREE).await.status, 200);
+    house.kept();
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,7 +1,7 @@
 //! Plays one scripted day: starts servers and fronts, lets players come and troubles loose, stops all, and has
 //! the rules checked.
 
-use crate::fronts::{Program, portal};
+use crate::fronts::Program;
 use crate::players::{Room, Watched, arrivals, let_come};
 use crate::script::Day;
 use crate::set::Set;
@@ -37,7 +37,7 @@
         day: day.clone(),
         titles: titles.clone(),
         fronts: fronts.clone(),
-        portal: portal(),
+        seal: fronts.connector()?,
         log: log.clone(),
         requests: AtomicU64::new(1),
         watched: Mutex::default(),
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -3,16 +3,18 @@
 use crate::script::Day;
 use anyhow::{Context, Result, bail, ensure};
 use pulleystair_boxes::log::Log;
-use pulleystair_dash::token::Ring;
+use pulleystair_boxes::papers::{Authority, Paper};
+use pulleystair_dash::token::{Entry, Ring};
 use pulleystair_witness::What;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep};
+use tokio_rustls::TlsConnector;
 
 /// How long a front may take until it listens.
 const START: Duration = Duration::from_secs(20);
@@ -46,15 +48,35 @@
     zones: usize,
     all: Arc<Mutex<Vec<Front>>>,
     log: Log,
+    /// The portal's present key, and how many keys there were.
+    portal: Arc<Mutex<(Ring, usize)>>,
+    /// Who vouches for fronts and servers, where they speak TLS.
+    pub authority: Option<Arc<Authority>>,
 }
 
+/// A certificate of the laboratory that runs out long after any day.
+const LONG: Duration = Duration::from_secs(86_000);
+/// The name that fronts' certificates bear.
+pub const FRONT: &str = "front";
+
 /// The portal's key, with which entry tokens are signed.
 pub fn portal() -> Ring {
-    Ring::new(&[("portal-1".to_string(), entry_secret())]).expect("one long key is a ring")
+    ring(1)
+}
+
+fn ring(n: usize) -> Ring {
+    Ring::new(&[(format!("portal-{n}"), secret("entry", n))]).expect("one long key is a ring")
 }
 
-fn entry_secret() -> Vec<u8> {
-    b"entry tokens of this laboratory, not a secret".to_vec()
+fn secret(of: &str, n: usize) -> Vec<u8> {
+    format!("{of} tokens of this laboratory, not a secret {n}").into_bytes()
+}
+
+/// Writes a file beside itself and puts it in place whole.
+fn put(file: &Path, bytes: &[u8]) -> Result<()> {
+    let beside = file.with_extension("new");
+    std::fs::write(&beside, bytes)?;
+    Ok(std::fs::rename(&beside, file)?)
 }
 
 /// The rundown of one front of a day.
@@ -111,31 +133,85 @@
         "reads": day.reads,
         "admission": day.admission,
         "keys": "keys.json",
+        "tls": if day.tls { json!({ "players": "players", "servers": "servers" }) } else { json!({}) },
     })
 }
 
 impl Fronts {
     /// Writes keys and rundowns into the folder; the list must be there before a front starts.
     pub fn new(day: &Day, program: Program, folder: &Path, log: Log) -> Result<Fronts> {
-        std::fs::write(folder.join("entry.key"), entry_secret())?;
-        std::fs::write(folder.join("pass.key"), b"session tokens of this laboratory, not a secret")?;
-        let keys = json!({
-            "entry": [{ "kid": "portal-1", "file": "entry.key" }],
-            "pass": [{ "kid": "pass-1", "file": "pass.key" }],
-        });
-        std::fs::write(folder.join("keys.json"), keys.to_string())?;
         for front in 0..day.fronts {
             let text = serde_json::to_string_pretty(&rundown(day, front))?;
             std::fs::write(folder.join(format!("front-{front}.json")), text)?;
         }
         let all = (0..day.fronts).map(|_| Front { child: None, address: None }).collect();
-        Ok(Fronts {
+        let fronts = Fronts {
             program,
             folder: folder.into(),
             zones: day.zones.len(),
             all: Arc::new(Mutex::new(all)),
             log,
-        })
+            portal: Arc::new(Mutex::new((ring(1), 1))),
+            authority: day.tls.then(|| Arc::new(Authority::default())),
+        };
+        fronts.put_keys(&[1])?;
+        if let Some(authority) = &fronts.authority {
+            for side in ["players", "servers"] {
+                std::fs::create_dir_all(folder.join(side))?;
+                put(&folder.join(side).join("authority.pem"), authority.pem().as_bytes())?;
+            }
+        }
+        fronts.renew_papers()?;
+        Ok(fronts)
+    }
+
+    /// Puts these token keys in service, the first of them to sign.
+    fn put_keys(&self, numbers: &[usize]) -> Result<()> {
+        let mut keys = json!({ "entry": [], "pass": [] });
+        for n in numbers {
+            for (of, kid) in [("entry", "portal"), ("pass", "pass")] {
+                let file = format!("{of}-{n}.key");
+                put(&self.folder.join(&file), &secret(of, *n))?;
+                let list = keys[of].as_array_mut().context("it was made a list")?;
+                list.push(json!({ "kid": format!("{kid}-{n}"), "file": file }));
+            }
+        }
+        put(&self.folder.join("keys.json"), keys.to_string().as_bytes())
+    }
+
+    /// Replaces all token keys as an operator would: the new ones beside the old, then the portal signs by the
+    /// new one, then the old are taken out.
+    pub async fn renew_keys(&self, taken: Duration) -> Result<()> {
+        let old = self.portal.lock().expect("nobody dies while holding the portal").1;
+        self.put_keys(&[old + 1, old])?;
+        sleep(taken).await;
+        *self.portal.lock().expect("nobody dies while holding the portal") = (ring(old + 1), old + 1);
+        self.put_keys(&[old + 1])
+    }
+
+    /// Replaces the fronts' certificates, where they have any.
+    pub fn renew_papers(&self) -> Result<()> {
+        for side in ["players", "servers"] {
+            if let Some(paper) = self.paper(SystemTime::now() + LONG) {
+                paper.put(&self.folder.join(side))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A certificate for fronts, good until then.
+    pub fn paper(&self, until: SystemTime) -> Option<Paper> {
+        Some(self.authority.as_ref()?.paper(FRONT, until))
+    }
+
+    /// How players speak to fronts, where that is under TLS.
+    pub fn connector(&self) -> Result<Option<TlsConnector>> {
+        Ok(self.authority.as_ref().map(|authority| authority.connector(None)).transpose()?)
+    }
+
+    /// An entry token by the portal's present key.
+    pub fn sign(&self, entry: &Entry) -> String {
+        self.portal.lock().expect("nobody dies while holding the portal").0.sign(entry)
     }
 
     pub fn count(&self) -> usize {
--- a/crates/lab/src/players.rs
+++ b/crates/lab/src/players.rs
@@ -1,7 +1,7 @@
 //! Players that come by a schedule, open-loop: each asks for a manifest, fetches segments as it plays, retries,
 //! leaves and comes back. They speak to fronts over sockets alone, and log what they see.
 
-use crate::fronts::Fronts;
+use crate::fronts::{FRONT, Fronts};
 use crate::script::{Day, Kind};
 use crate::stage::{Title, ms};
 use anyhow::Result;
@@ -9,7 +9,7 @@
 use pulleystair_boxes::log::Log;
 use pulleystair_boxes::wire::{Message, Peer};
 use pulleystair_dash::address;
-use pulleystair_dash::token::{Entry, Ring};
+use pulleystair_dash::token::Entry;
 use pulleystair_witness::What;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -18,8 +18,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_rustls::TlsConnector;
 
 /// Times that a viewer comes again, at most.
 const COMES: usize = 3;
@@ -113,7 +113,8 @@
     pub day: Arc<Day>,
     pub titles: Arc<Vec<Title>>,
     pub fronts: Fronts,
-    pub portal: Ring,
+    /// How players speak to fronts, where that is under TLS.
+    pub seal: Option<TlsConnector>,
     pub log: Log,
     pub requests: AtomicU64,
     pub watched: Mutex<Vec<Watched>>,
@@ -170,9 +171,13 @@
         self.watched.lock().expect("no player dies while it reports").push(seen);
     }
 
+    async fn call(&self, address: SocketAddr) -> std::io::Result<Peer> {
+        Peer::call(address, self.seal.as_ref().map(|seal| (seal, FRONT))).await
+    }
+
     fn token(&self, session: &str, arrival: &Arrival) -> String {
         let title = &self.titles[arrival.title];
-        self.portal.sign(&Entry {
+        self.fronts.sign(&Entry {
             jti: session.to_string(),
             sub: format!("v{:x}", arrival.seed),
             product: self.day.products[title.product].name.clone(),
@@ -219,8 +224,7 @@
     ) -> Told {
         let title = &self.titles[arrival.title];
         let product = &self.day.products[title.product];
-        let Ok(stream) = TcpStream::connect(address).await else { return Told::Cut };
-        let mut peer = Peer::new(stream);
+        let Ok(mut peer) = self.call(address).await else { return Told::Cut };
         let request = self.requests.fetch_add(1, Ordering::Relaxed);
         let target = address::manifest(&product.name, &title.name, &self.token(session, arrival));
         self.log.saw(What::Asked {
@@ -300,8 +304,7 @@
             }
         }
         if leaves {
-            if let Ok(stream) = TcpStream::connect(address).await {
-                let mut peer = Peer::new(stream);
+            if let Ok(mut peer) = self.call(address).await {
                 let _ = peer
                     .write(format!("DELETE {} HTTP/1.1\r\nHost: front\r\n\r\n", form.base).as_bytes())
                     .await;
@@ -327,7 +330,7 @@
             }
             let mut peer = match line.take() {
                 Some(peer) => peer,
-                None => Peer::new(TcpStream::connect(address).await.ok()?),
+                None => self.call(address).await.ok()?,
             };
             let answer = timeout(patience, async {
                 peer.write(format!("GET {path} HTTP/1.1\r\nHost: front\r\n\r\n").as_bytes()).await?;
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -32,6 +32,9 @@
     /// How many set-ups a front has out at once, likewise.
     #[serde(default)]
     pub admission: serde_json::Map<String, serde_json::Value>,
+    /// Players, fronts and servers speak TLS, each with a certificate of the laboratory's own authority.
+    #[serde(default)]
+    pub tls: bool,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -202,6 +205,8 @@
     ZoneLoss,
     /// A front is killed, and started again after the length.
     FrontDeath,
+    /// Token keys, and certificates where there are any, are replaced so many times over the length.
+    Renew,
     /// So many times the usual new plays come.
     Surge,
     /// So many times the usual new plays come, all for one title of the first product.
--- a/crates/lab/src/set.rs
+++ b/crates/lab/src/set.rs
@@ -35,6 +35,13 @@
             Boxes::start(day.ground(), day.builds(), known.collect(), products, day.seed, log.clone())
                 .await?;
         let fronts = Fronts::new(&day, program, folder, log.clone())?;
+        if let Some(authority) = &fronts.authority {
+            let until = std::time::SystemTime::now() + std::time::Duration::from_secs(86_000);
+            for server in 0..day.fleet.servers {
+                let paper = authority.paper(&format!("m{server}"), until);
+                boxes.seal(server, Some(authority.acceptor(&paper, Some(authority))?));
+            }
+        }
         let list = folder.join("list.json");
         let stage =
             Stage::new(day.clone(), titles.clone(), boxes.clone(), fronts.clone(), log.clone(), list)?;
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -202,6 +202,16 @@
         let size = trouble.size;
         match trouble.kind {
             Kind::Surge | Kind::Crowd => {}
+            Kind::Renew => {
+                let each = length / size.max(1.0) as u32;
+                for _ in 0..size as usize {
+                    let renewed = self.fronts.renew_papers().and(self.fronts.renew_keys(each / 2).await);
+                    if let Err(e) = renewed {
+                        eprintln!("pulleystair-lab: keys could not be replaced: {e}");
+                    }
+                    sleep(each / 2).await;
+                }
+            }
             Kind::FrontDeath => {
                 let front = rnd.random_range(0..self.fronts.count());
                 self.fronts.kill(front).await;
