Serve live and described titles, HEAD and conditional requests; read and write MPDs in one module

Titles were static and of one Period. The list may now give a title as live (a dynamic MPD with availability times, a Location that renews the pass, UTCTiming) or by an MPD file of several Periods with a template by number, time or timeline. Segments carry the server's ETag: 304 for what the player has, and If-Range when a read is taken up, so two editions are never put together. HEAD, OPTIONS, Date, Allow and cache headers that fit tokens. Round trips by proptest and an independent parser; 23 bad manifests refused by their place.

--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -199,10 +199,9 @@
                 return Ok(());
             }
             ("GET", ["load"]) => peer.write(&shared.answer(server, 200)).await?,
-            ("GET", ["plays", name, rung, number]) => {
-                let part = request.header("range").and_then(range);
+            ("GET" | "HEAD", ["plays", name, rung, number]) => {
                 let (rung, number) = (rung.parse().ok(), number.parse().ok());
-                if !segment(shared, server, &mut peer, name, rung, number, part).await? {
+                if !segment(shared, server, &mut peer, name, rung, number, &request).await? {
                     return Ok(());
                 }
             }
@@ -450,7 +449,7 @@
     name: &str,
     rung: Option<usize>,
     number: Option<u64>,
-    part: Option<(usize, usize)>,
+    request: &Message,
 ) -> io::Result<bool> {
     let (found, ails) = {
         let world = shared.world();
@@ -469,6 +468,15 @@
     let segment_ms = shared.titles.get(&title).map_or(1000, |t| t.segment_ms);
     let length = if number == 0 { 600 } else { (kb * segment_ms as f64) as usize };
     let whole = content::make(&title, rung, number, length);
+    // What the bytes are, and whose: another edition of a title has other tags.
+    let tag = format!("\"{title}-{rung}-{number}-{}\"", ails.edition);
+    if request.header("if-none-match").is_some_and(|tags| tags.split(',').any(|t| t.trim() == tag)) {
+        let head = shared.head(server, 304, 0).replacen("Content-Length: 0", &format!("ETag: {tag}"), 1);
+        peer.write(head.as_bytes()).await?;
+        return Ok(true);
+    }
+    let part = request.header("range").and_then(range);
+    let part = part.filter(|_| request.header("if-range").is_none_or(|t| t == tag));
     let part = part.filter(|_| shared.dice() >= ails.no_ranges);
     let (first, last) = part.map_or((0, whole.len() - 1), |(first, last)| (first, last.min(whole.len() - 1)));
     if first > last {
@@ -484,7 +492,10 @@
             1,
         ),
     };
-    peer.write(head.as_bytes()).await?;
+    peer.write(head.replacen("\r\n", &format!("\r\nETag: {tag}\r\n"), 1).as_bytes()).await?;
+    if request.method == "HEAD" {
+        return Ok(true);
+    }
     let dice = shared.dice();
     let (cut, stall) = (dice < ails.cut, dice >= ails.cut && dice < ails.cut + ails.stall);
     let sent = if cut || stall { &body[..body.len() / 2] } else { body };
--- a/crates/boxes/src/world.rs
+++ b/crates/boxes/src/world.rs
@@ -63,6 +63,8 @@
     pub stall: f64,
     pub over_long: f64,
     pub no_ranges: f64,
+    /// Which edition of its titles it holds: the bytes are the same here, their tags are not.
+    pub edition: u32,
     /// Work takes so many times as long.
     pub slow: f64,
     /// The link carries this part, less what another program takes.
@@ -87,6 +89,7 @@
             stall: 0.0,
             over_long: 0.0,
             no_ranges: 0.0,
+            edition: 0,
             slow: 1.0,
             link: 1.0,
             neighbour: 0.0,
--- a/crates/dash/src/address.rs
+++ b/crates/dash/src/address.rs
@@ -3,11 +3,15 @@
 //! `/v1/PRODUCT/TITLE/manifest.mpd?token=ENTRY` asks for a play; the entry token may also come as
 //! `Authorization: Bearer`. `/s/PASS/RUNG/NUMBER.m4s` and `/s/PASS/RUNG/init.mp4` are its segments: the
 //! manifest's BaseURL holds the session token, so players need no support for query insertion
-//! (ISO/IEC 23009-1, annex I). `DELETE /s/PASS/` says that the viewer leaves.
+//! (ISO/IEC 23009-1, annex I). `/s/PASS/RUNG/FIRST-tTIME.m4s` is the one that begins at that time in the Period whose
+//! first number that is. `/s/PASS/manifest.mpd` is the manifest of a play that runs, anew. `DELETE /s/PASS/` says
+//! that the viewer leaves. `/v1/time` tells the time, in its `Date`.
 
 /// `initialization` and `media` of the SegmentTemplate, relative to the BaseURL.
 pub const INITIALISATION: &str = "$RepresentationID$/init.mp4";
 pub const MEDIA: &str = "$RepresentationID$/$Number$.m4s";
+/// `media` by time; FIRST stands for the Period's first number.
+pub const MEDIA_BY_TIME: &str = "$RepresentationID$/FIRST-t$Time$.m4s";
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Address<'a> {
@@ -16,22 +20,44 @@
         title: &'a str,
         entry: Option<&'a str>,
     },
-    /// Number 0 is the initialisation segment.
     Segment {
         pass: &'a str,
         rung: usize,
-        number: u64,
+        which: Which,
     },
+    /// The manifest of a play that runs, anew.
+    Again {
+        pass: &'a str,
+    },
+    Time,
     Session {
         pass: &'a str,
     },
 }
 
+/// Which of a title's segments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Which {
+    Initialisation,
+    /// Numbered from 1 through all Periods.
+    Number(u64),
+    /// That which begins at `time`, in the Period whose first number is `first`.
+    Time {
+        first: u64,
+        time: u64,
+    },
+}
+
 /// Where a play's segments are; goes into the manifest.
 pub fn base(pass: &str) -> String {
     format!("/s/{pass}/")
 }
 
+/// Where a play that runs has its manifest anew.
+pub fn again(pass: &str) -> String {
+    format!("/s/{pass}/manifest.mpd")
+}
+
 pub fn manifest(product: &str, title: &str, entry: &str) -> String {
     format!("/v1/{product}/{title}/manifest.mpd?token={entry}")
 }
@@ -39,20 +65,27 @@
 /// Reads the target of a request; none where a front serves nothing there.
 pub fn read(target: &str) -> Option<Address<'_>> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    if path == crate::mpd::TIME {
+        return Some(Address::Time);
+    }
     let mut parts = path.strip_prefix('/')?.split('/');
     let address = match (parts.next()?, parts.next()?, parts.next()?, parts.next()) {
         ("v1", product, title, Some("manifest.mpd")) if name(product) && name(title) => {
             let entry = query.split('&').find_map(|pair| pair.strip_prefix("token="));
             Address::Manifest { product, title, entry }
         }
+        ("s", pass, "manifest.mpd", None) if !pass.is_empty() => Address::Again { pass },
         ("s", pass, "", None) if !pass.is_empty() => Address::Session { pass },
         ("s", pass, rung, Some(file)) if !pass.is_empty() => {
-            let number = match file.strip_suffix(".m4s") {
-                Some(number) => digits(number).filter(|n| *n > 0)?,
-                None if file == "init.mp4" => 0,
+            let which = match file.strip_suffix(".m4s").map(|name| (name, name.split_once("-t"))) {
+                Some((_, Some((first, time)))) => {
+                    Which::Time { first: digits(first).filter(|n| *n > 0)?, time: digits(time)? }
+                }
+                Some((number, None)) => Which::Number(digits(number).filter(|n| *n > 0)?),
+                None if file == "init.mp4" => Which::Initialisation,
                 None => return None,
             };
-            Address::Segment { pass, rung: digits(rung)?.try_into().ok()?, number }
+            Address::Segment { pass, rung: digits(rung)?.try_into().ok()?, which }
         }
         _ => return None,
     };
@@ -66,6 +99,6 @@
 }
 
 fn digits(text: &str) -> Option<u64> {
-    let plain = !text.is_empty() && text.len() <= 12 && text.bytes().all(|b| b.is_ascii_digit());
+    let plain = !text.is_empty() && text.len() <= 16 && text.bytes().all(|b| b.is_ascii_digit());
     plain.then(|| text.parse().ok())?
 }
--- /dev/null
+++ b/crates/dash/tests/mpd.rs
@@ -0,0 +1,253 @@
+//! Manifests written, read back, and read by an independent parser; bad ones refused by their place.
+
+use proptest::prelude::*;
+use pulleystair_dash::mpd::{Entry, Live, Period, Presentation, Segments, date, read};
+use test_case::test_case;
+
+fn plain(duration_ms: u64, segment_ms: u64) -> Presentation {
+    let mut it = Presentation::plain("forms & fees <1>".into(), duration_ms, segment_ms);
+    it.base = "/s/a.b.c/".into();
+    it.periods[0].bandwidths = vec![400_000, 964_000, 2_400_000];
+    it
+}
+
+#[test_case(34_000, 2000, 17; "whole segments")]
+#[test_case(34_500, 2000, 18; "a short last one")]
+#[test_case(10, 2000, 1; "one short one")]
+fn a_manifest_is_read_back_by_an_independent_parser(duration_ms: u64, segment_ms: u64, segments: u64) {
+    let it = plain(duration_ms, segment_ms);
+    assert_eq!(it.segments(), Some(segments));
+    let mpd = dash_mpd::parse(&it.write()).expect("the independent parser reads it");
+    assert_eq!(mpd.mpdtype.as_deref(), Some("static"));
+    assert_eq!(mpd.id.as_deref(), Some("forms & fees <1>"));
+    assert_eq!(mpd.mediaPresentationDuration.unwrap().as_millis() as u64, duration_ms);
+    assert_eq!(mpd.base_url[0].base, "/s/a.b.c/");
+    let sets = &mpd.periods[0].adaptations;
+    assert_eq!((mpd.periods.len(), sets.len()), (1, 1));
+    let template = sets[0].SegmentTemplate.as_ref().unwrap();
+    assert_eq!((template.timescale, template.duration), (Some(1000), Some(segment_ms as f64)));
+    assert_eq!(template.startNumber, Some(1));
+    assert_eq!(template.media.as_deref(), Some("$RepresentationID$/$Number$.m4s"));
+    let rates: Vec<u64> = sets[0].representations.iter().filter_map(|r| r.bandwidth).collect();
+    assert_eq!(rates, [400_000, 964_000, 2_400_000]);
+}
+
+fn live(window_ms: u64, duration_ms: Option<u64>) -> Presentation {
+    let mut it = plain(1, 2000);
+    it.duration_ms = duration_ms;
+    it.live = Some(Live {
+        from_ms: 1_764_600_716_250,
+        update_ms: Some(2000),
+        window_ms: Some(window_ms),
+        published_ms: 1_764_600_716_250,
+    });
+    it
+}
+
+#[test]
+fn a_live_title_is_a_dynamic_manifest() {
+    let mut it = live(30_000, None);
+    it.location = Some("/s/a.b.c/manifest.mpd".into());
+    let mpd = dash_mpd::parse(&it.write()).expect("the independent parser reads it");
+    assert_eq!(mpd.mpdtype.as_deref(), Some("dynamic"));
+    assert_eq!(mpd.minimumUpdatePeriod.unwrap().as_millis(), 2000);
+    assert_eq!(mpd.timeShiftBufferDepth.unwrap().as_millis(), 30_000);
+    assert_eq!(mpd.availabilityStartTime.unwrap().timestamp_millis(), 1_764_600_716_250);
+    assert_eq!(mpd.locations[0].url, "/s/a.b.c/manifest.mpd");
+    assert_eq!((mpd.mediaPresentationDuration, it.segments()), (None, None));
+}
+
+#[test]
+fn a_live_titles_segments_come_and_go() {
+    let it = live(10_000, Some(60_000));
+    let at = |ms: u64| it.available(1_764_600_716_250 + ms);
+    assert_eq!(at(0), None);
+    assert_eq!(at(1_999), None, "the first is not complete");
+    assert_eq!(at(2_000), Some((1, 1)));
+    assert_eq!(at(11_999), Some((1, 5)));
+    assert_eq!(at(12_000), Some((2, 6)), "the first has left the window");
+    assert_eq!(at(60_000), Some((26, 30)));
+    assert_eq!(at(600_000), Some((30, 30)), "it has ended");
+    assert_eq!(it.available(5), None, "long before");
+}
+
+/// Two Periods, the first by time.
+const TWO: &str = r#"<?xml version="1.0"?>
+<MPD xmlns="urn:mpeg:dash:schema:mpd:2011" type="static" mediaPresentationDuration="PT1M0.5S">
+  <Period id="a" duration="PT12S">
+    <AdaptationSet mimeType="audio/mp4"><SegmentTemplate duration="1" media="x$Number$"/><Representation bandwidth="9"/></AdaptationSet>
+    <AdaptationSet contentType="video">
+      <SegmentTemplate timescale="90000" media="v-$Time$.m4s" initialization="i.mp4">
+        <SegmentTimeline><S t="900" d="180000" r="3"/><S d="360000"/></SegmentTimeline>
+      </SegmentTemplate>
+      <Representation id="lo" bandwidth="100000"/><Representation id="hi" bandwidth="300000"/>
+    </AdaptationSet>
+  </Period>
+  <Period id="b">
+    <AdaptationSet contentType="video">
+      <SegmentTemplate timescale="30000" duration="120000" startNumber="7" media="v-$Number$.m4s"/>
+      <Representation bandwidth="100000"/><Representation bandwidth="300000"/>
+    </AdaptationSet>
+  </Period>
+</MPD>"#;
+
+#[test]
+fn several_periods_by_time_and_by_number() {
+    let it = read(TWO).unwrap();
+    assert_eq!((it.periods.len(), it.periods[1].start_ms, it.duration_ms), (2, 12_000, Some(60_500)));
+    assert_eq!(it.periods[1].segments, Segments::Even { segment_ms: 4000 });
+    assert_eq!(it.segments(), Some(5 + 13));
+    assert_eq!(it.longest_segment(), 4000);
+    assert_eq!([900, 180_900, 540_900, 720_900].map(|t| it.at_time(1, t)), [1, 2, 4, 5].map(Some));
+    assert_eq!([0, 901, 360_000, 1_080_900].map(|t| it.at_time(1, t)), [None; 4]);
+    assert_eq!(it.at_time(6, 900), None, "the second Period goes by number");
+    // What is written for players goes by numbers through all of it, and reads as the same.
+    let again = read(&it.write()).unwrap();
+    assert_eq!(again, it);
+    let mpd = dash_mpd::parse(&it.write()).expect("the independent parser reads it");
+    let template = |p: usize| mpd.periods[p].adaptations[0].SegmentTemplate.clone().unwrap();
+    assert_eq!(template(0).media.as_deref(), Some("$RepresentationID$/1-t$Time$.m4s"));
+    assert_eq!((template(1).startNumber, template(0).SegmentTimeline.unwrap().segments.len()), (Some(6), 2));
+}
+
+#[test_case("", "MPD at byte 0: there is none"; "nothing")]
+#[test_case("<MPD", "MPD at byte 0: not read as XML"; "half a tag")]
+#[test_case("<HTML></HTML>", "HTML at byte 0: the root is one MPD"; "another document")]
+#[test_case("<MPD><Period>", "ends in the middle"; "cut off")]
+#[test_case("<!DOCTYPE x [<!ENTITY a 'b'>]><MPD/>", "a DOCTYPE is not taken"; "a doctype")]
+#[test_case("<MPD type='odd'/>", "MPD at byte 0: type is \"odd\""; "another type")]
+#[test_case("<MPD type='dynamic'/>", "availabilityStartTime"; "live since never")]
+#[test_case("<MPD type='dynamic' availabilityStartTime='yesterday'/>", "availabilityStartTime is \"yesterday\""; "no date")]
+#[test_case("<MPD/>", "has no Period"; "no period")]
+#[test_case("<MPD mediaPresentationDuration='1 hour'/>", "mediaPresentationDuration is \"1 hour\""; "no span")]
+#[test_case("<MPD><Period><BaseURL>x</BaseURL></Period></MPD>", "BaseURL at byte 13: segments that lie elsewhere"; "a base below")]
+#[test_case("<MPD><Period><AdaptationSet><Representation/></AdaptationSet></Period></MPD>", "Representation at byte 28: bandwidth is missing"; "no bandwidth")]
+#[test_case("<MPD mediaPresentationDuration='PT9S'><Period/></MPD>", "Period \"1\": has no SegmentTemplate"; "no template")]
+fn a_bad_manifest_is_refused_by_its_place(text: &str, says: &str) {
+    let fault = read(text).unwrap_err().to_string();
+    assert!(fault.contains(says), "{fault}");
+}
+
+#[test_case("timescale=\"90000\"", "timescale=\"0\"", "SegmentTemplate at byte"; "no timescale")]
+#[test_case("d=\"360000\"", "d=\"0\"", "S at byte"; "a segment without length")]
+#[test_case("r=\"3\"", "r=\"-1\"", "open-ended"; "an open end")]
+#[test_case("r=\"3\"", "r=\"99999999\"", "over 1000000 segments"; "too many segments")]
+#[test_case("<S d=", "<S t=\"5\" d=", "t is 5, before the end of the one before, 720900"; "entries that overlap")]
+#[test_case("duration=\"PT12S\"", "", "Period \"b\": has no start"; "a period that begins nowhere")]
+#[test_case("<Period id=\"b\">", "<Period id=\"b\" start=\"PT3S\">", "Period \"b\": begins before"; "periods that overlap")]
+#[test_case("duration=\"120000\"", "duration=\"1\"", "Period \"b\": segments shorter than 1 ms"; "segments of no length")]
+#[test_case("PT1M0.5S", "P90D", "longer than"; "too long")]
+#[test_case("id=\"b\"", "id=\"&nope;\"", "id is malformed"; "an unknown entity")]
+fn a_spoilt_manifest_is_refused_by_its_place(find: &str, put: &str, says: &str) {
+    assert!(TWO.contains(find));
+    let fault = read(&TWO.replacen(find, put, 1)).unwrap_err().to_string();
+    assert!(fault.contains(says), "{fault}");
+}
+
+#[test]
+fn what_is_too_much_is_refused() {
+    let many = |what: &str, n: usize| TWO.replacen("<S d=", &format!("{}<S d=", what.repeat(n)), 1);
+    assert!(read(&many("<S d=\"1\"/>", 20_000)).unwrap_err().cause.contains("entries"));
+    assert!(read(&" ".repeat(2 << 20)).unwrap_err().cause.contains("bytes"));
+    assert!(read(&"<MPD>".repeat(100)).unwrap_err().cause.contains("deep"));
+    let periods = format!("<MPD>{}</MPD>", "<Period/>".repeat(300));
+    assert!(read(&periods).unwrap_err().cause.contains("Periods"));
+}
+
+#[test_case(0, "1970-01-01T00:00:00.000Z"; "the beginning")]
+#[test_case(951_782_400_123, "2000-02-29T00:00:00.123Z"; "a leap day")]
+#[test_case(4_107_542_399_000, "2100-02-28T23:59:59.000Z"; "a century without one")]
+#[test_case(1_764_600_716_250, "2025-12-01T14:51:56.250Z"; "a day in december")]
+fn dates_are_those_of_the_calendar(ms: u64, text: &str) {
+    assert_eq!(date(ms), text);
+}
+
+fn presentation() -> impl Strategy<Value = Presentation> {
+    let entries = prop::collection::vec((0u64..500, 1u64..10_000, 0u64..20), 1..6).prop_map(|raw| {
+        let mut follows = 0;
+        raw.into_iter()
+            .map(|(gap, duration, repeat)| {
+                let start = follows + gap;
+                follows = start + duration * (repeat + 1);
+                Entry { start, duration, repeat }
+            })
+            .collect()
+    });
+    let segments = prop_oneof![
+        (1u64..20_000).prop_map(|segment_ms| Segments::Even { segment_ms }),
+        (1u64..100_000, entries, any::<bool>())
+            .prop_map(|(timescale, entries, by_time)| Segments::Timeline { timescale, entries, by_time }),
+    ];
+    let period = ("[a-z<&\"' ]{0,8}", 1u64..1_000_000, segments);
+    let live = prop::option::of((
+        0u64..4_000_000_000_000,
+        prop::option::of(1u64..1_000_000),
+        prop::option::of(1u64..1_000_000),
+    ));
+    let periods = prop::collection::vec(period, 1..4);
+    let bandwidths = prop::collection::vec(1u64..1_000_000_000, 1..5);
+    (
+        "[a-z<&\"' é]{0,12}",
+        "(/s/[a-z&]{1,8}/)?",
+        prop::option::of("/s/[a-z<&]{1,9}"),
+        live,
+        periods,
+        bandwidths,
+    )
+        .prop_map(|(title, base, location, live, periods, bandwidths)| {
+            let mut start_ms = 0;
+            let periods: Vec<Period> = periods
+                .into_iter()
+                .map(|(id, length, segments)| {
+                    let it = Period { id, start_ms, segments, bandwidths: bandwidths.clone() };
+                    start_ms += length;
+                    it
+                })
+                .collect();
+            let live = live.map(|(from_ms, update_ms, window_ms)| Live {
+                from_ms,
+                update_ms,
+                window_ms,
+                published_ms: from_ms + 5,
+            });
+            let duration_ms = Some(start_ms).filter(|_| live.is_none() || start_ms % 2 == 0);
+            Presentation { title, base, location, duration_ms, live, periods }
+        })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_reads_as_the_same(it in presentation()) {
+        prop_assert_eq!(read(&it.write()), Ok(it));
+    }
+
+    /// Every time that a timeline names leads to a number of its own, in order, and no other time does.
+    #[test]
+    fn times_and_numbers_go_together(it in presentation()) {
+        let mut first = 1;
+        for (at, period) in it.periods.iter().enumerate() {
+            if let Segments::Timeline { entries, by_time: true, .. } = &period.segments {
+                let times = entries.iter().flat_map(|e| (0..=e.repeat).map(|r| e.start + r * e.duration));
+                let times: Vec<u64> = times.collect();
+                for (n, time) in times.iter().enumerate() {
+                    prop_assert_eq!(it.at_time(first, *time), Some(first + n as u64));
+                    if !times.contains(&(time + 1)) {
+                        prop_assert_eq!(it.at_time(first, time + 1), None);
+                    }
+                }
+            }
+            let mut only = it.clone();
+            only.periods.truncate(at + 1);
+            only.duration_ms = it.periods.get(at + 1).map(|next| next.start_ms).or(it.duration_ms);
+            match only.segments() {
+                Some(all) => first = all + 1,
+                None => break,
+            }
+        }
+    }
+
+    #[test]
+    fn no_text_is_a_panic(text in "(<MPD|<Period|<S|[ a-zA-Z<>/=\"'0-9&;-]){0,60}") {
+        let _ = read(&text);
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -21,8 +21,7 @@
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{Budget, Fault};
-use pulleystair_dash::address::{self, Address};
-use pulleystair_dash::mpd::segments;
+use pulleystair_dash::address::{self, Address, Which};
 use pulleystair_desk::{Desk, Wish};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -407,6 +406,7 @@
                 Ok(Some((request, used))) => {
                     line.input.drain(..used);
                     line.keep_alive = request.keep_alive;
+                    line.bare = request.method == "HEAD";
                     line.due = f64::INFINITY;
                     self.request(key, &request);
                 }
@@ -418,6 +418,17 @@
     fn request(&mut self, key: Key, request: &http::Request) {
         let answer = match (request.method.as_str(), address::read(&request.target)) {
             (_, None) => words(404, "nothing is served here"),
+            ("OPTIONS", _) => words(204, ""),
+            ("GET" | "HEAD", Some(Address::Time)) => {
+                words(200, &pulleystair_dash::mpd::date(self.floor.now() as u64))
+            }
+            ("GET" | "HEAD", Some(Address::Again { pass })) => match self.floor.playing(pass) {
+                Ok(play) => self.floor.asked_again(play),
+                Err(answer) => answer,
+            },
+            ("HEAD", Some(Address::Manifest { .. })) => {
+                words(405, "HEAD would take no play: GET the manifest, or HEAD one that plays")
+            }
             ("GET", Some(Address::Manifest { product, title, entry })) => {
                 let token = request.bearer.as_deref().or(entry).unwrap_or("");
                 match self.manifest(key, product, title, token) {
@@ -425,8 +436,8 @@
                     None => return,
                 }
             }
-            ("GET", Some(Address::Segment { pass, rung, number })) => {
-                match self.segment(key, pass, rung, number, request.range) {
+            ("GET" | "HEAD", Some(Address::Segment { pass, rung, which })) => {
+                match self.segment(key, pass, rung, which, request) {
                     Some(answer) => answer,
                     None => return,
                 }
@@ -551,8 +562,8 @@
         key: Key,
         pass: &str,
         rung: usize,
-        number: u64,
-        part: Option<(u64, Option<u64>)>,
+        which: Which,
+        request: &http::Request,
     ) -> Option<Final> {
         let floor = &mut self.floor;
         let now = floor.now();
@@ -561,9 +572,20 @@
             Err(answer) => return Some(answer),
         };
         let session = floor.book.get_mut(play)?;
-        let title = &session.show;
-        if number > segments(title.duration_ms, title.segment_ms) || rung >= floor.rundown.ladder.len() {
-            return Some(words(404, "no such segment"));
+        let shape = &session.show.shape;
+        let number = match which {
+            Which::Initialisation => Some(0),
+            Which::Number(number) => Some(number),
+            Which::Time { first, time } => shape.at_time(first, time),
+        };
+        let number = number.filter(|_| rung < floor.rundown.ladder.len());
+        let Some(number) = number else { return Some(words(404, "no such segment")) };
+        match shape.available(now as u64) {
+            _ if number == 0 => {}
+            Some((first, _)) if number < first => return Some(words(404, "that segment is kept no more")),
+            Some((_, last)) if number <= last => {}
+            _ if shape.live.is_some() => return Some(words(404, "that segment is not there yet")),
+            _ => return Some(words(404, "no such segment")),
         }
         session.last_asked = now;
         session.fetching += 1;
@@ -574,11 +596,12 @@
             line.role = Role::Player(Doing::Fetching(play));
         }
         let reads = &floor.rundown.reads;
-        let reading = Reading::new(target, part, now + reads.patience_ms);
+        let mut reading = Reading::new(target, request.range, now + reads.patience_ms);
+        (reading.bare, reading.unless) = (request.method == "HEAD", request.unless.clone());
         let terms = reads.terms();
         floor.servers[server as usize].budget.first(now, &terms);
         let what = What::Segment { player: key, play, number };
-        let request = floor.request_to(server, "GET", &reading.target, "");
+        let request = floor.request_to(server, reading.method(), &reading.target, "");
         let errand = Errand { what, request, reading: Some(reading), left: None, last: false };
         floor.run_errand(server, errand);
         None
@@ -808,7 +831,8 @@
                 let Body::Length(length) = answer.body else {
                     return floor.errand_failed(key, Fault::Malformed);
                 };
-                (it.left, it.last) = (Some(length), !answer.keep_alive);
+                let follows = it.reading.as_ref().map_or(length, |reading| reading.follows(length));
+                (it.left, it.last) = (Some(follows), !answer.keep_alive);
                 let (what, head) = (it.what, it.reading.as_mut().map(|reading| reading.head(&answer)));
                 floor.set_due(key, now + floor.rundown.limits.segment_ms);
                 let load = figures(answer.load.as_deref());
@@ -886,8 +910,7 @@
             if let Some(session) = floor.book.get_mut(play) {
                 session.fetching = session.fetching.saturating_sub(1);
                 session.last_asked = now;
-                let title = &session.show;
-                session.complete |= number == segments(title.duration_ms, title.segment_ms);
+                session.complete |= session.show.shape.segments() == Some(number);
                 floor.session_clock(play);
             }
             floor.answered(player);
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -6,7 +6,7 @@
 use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
 use crate::listing::{Title, Watched};
 use crate::reading::Head;
-use crate::rundown::Rundown;
+use crate::rundown::{Rundown, Rung};
 use crate::seals::Seals;
 use crate::sessions::{Book, Final, Life};
 use calloop::{LoopHandle, RegistrationToken};
@@ -24,7 +24,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 use tracing::{debug, error, info};
 
 use crate::edge::Edge;
@@ -32,6 +32,8 @@
 /// A connection that is told to close may take so long to read its answer, ms.
 const LEAVE: f64 = 1_000.0;
 
+const METHODS: &str = "GET, HEAD, DELETE, OPTIONS";
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Clock {
@@ -178,17 +180,28 @@
         } else {
             "Content-Type: text/plain; charset=utf-8"
         };
-        let mut more = vec![kind.to_string()];
+        let date = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs_f64(self.now() / 1000.0));
+        let mut more = vec![kind.to_string(), format!("Date: {date}")];
         if let Some(s) = answer.retry_after {
             more.push(format!("Retry-After: {s}"));
         }
-        if answer.status == 401 {
-            more.push("WWW-Authenticate: Bearer".into());
+        match answer.status {
+            401 => more.push("WWW-Authenticate: Bearer".into()),
+            405 => more.push(format!("Allow: {METHODS}")),
+            // What a browser asks before it lets a page's player do it (Fetch, section 3.2.2).
+            204 => {
+                more.push(format!("Access-Control-Allow-Methods: {METHODS}"));
+                more.push("Access-Control-Allow-Headers: Authorization, Range, If-None-Match".into());
+                more.push("Access-Control-Max-Age: 86400".into());
+            }
+            _ => {}
         }
         let mut out = Vec::with_capacity(answer.body.len() + 256);
         http::head(&mut out, answer.status, answer.body.len() as u64, keep_alive, &more);
-        out.extend_from_slice(answer.body.as_bytes());
         if let Some(line) = self.lines.get(key) {
+            if !line.bare && answer.status != 204 {
+                out.extend_from_slice(answer.body.as_bytes());
+            }
             line.write(&out);
             line.flush();
         }
@@ -287,16 +300,25 @@
             title: title.name.clone(),
             exp: ((self.now() + self.rundown.limits.pass_ms) / 1000.0).ceil() as u64,
         };
-        let presentation = Presentation {
-            title: title.name.clone(),
-            base: address::base(&self.pass_keys.sign(&pass)),
-            duration_ms: title.duration_ms,
-            segment_ms: title.segment_ms,
-            ladder: self.rundown.ladder[..=top].iter().map(|r| r.rate_kb * product.scale).collect(),
-        };
+        let pass = self.pass_keys.sign(&pass);
+        let bits = |rung: &Rung| ((rung.rate_kb * product.scale * 8000.0).ceil() as u64).max(1);
+        let bandwidths: Vec<u64> = self.rundown.ladder[..=top].iter().map(bits).collect();
+        let mut presentation = Presentation::clone(&title.shape);
+        presentation.base = address::base(&pass);
+        presentation.location = presentation.live.is_some().then(|| address::again(&pass));
+        presentation.periods.iter_mut().for_each(|period| period.bandwidths = bandwidths.clone());
         Some(Final { status: 200, body: presentation.write().into(), retry_after: None })
     }
 
+    /// The manifest of a play that runs, asked for by its pass.
+    pub(crate) fn asked_again(&mut self, play: u64) -> Final {
+        let now = self.now();
+        if let Some(session) = self.book.get_mut(play) {
+            session.last_asked = now;
+        }
+        self.manifest_of(play).unwrap_or_else(|| words(410, "this session does not play here"))
+    }
+
     /// The play is over: whoever waits gets the answer, and the play its line in the log.
     pub(crate) fn over(&mut self, play: u64, cause: &'static str, answer: Final) {
         let now = self.now();
@@ -326,7 +348,7 @@
         let linger = self.book.get(play).filter(|s| s.complete);
         match linger {
             // The last segment may be asked for once more.
-            Some(session) => session.show.segment_ms as f64,
+            Some(session) => session.show.shape.longest_segment() as f64,
             None => self.rundown.limits.play_idle_ms,
         }
     }
@@ -418,10 +440,10 @@
         if let Some(line) = self.lines.get(key)
             && let Role::Errands { errand, .. } = &mut line.role
         {
-            // The range goes before the empty line that ends the head.
-            let range = it.reading.as_ref().map(|r| r.range()).unwrap_or_default();
-            let (head, end) = it.request.split_at(it.request.len() - if range.is_empty() { 0 } else { 2 });
-            let request = [head, range.as_bytes(), end].concat();
+            // What is wanted of it goes before the empty line that ends the head.
+            let wanted = it.reading.as_ref().map(|r| r.headers()).unwrap_or_default();
+            let (head, end) = it.request.split_at(it.request.len() - if wanted.is_empty() { 0 } else { 2 });
+            let request = [head, wanted.as_bytes(), end].concat();
             *errand = Some(it);
             line.write(&request);
             line.flush();
@@ -539,6 +561,10 @@
         let mut more =
             vec!["Content-Type: video/mp4".to_string(), format!("CMSD-Dynamic: \"pulleystair\";mb={kbps}")];
         more.push("Accept-Ranges: bytes".into());
+        // Its address holds the viewer's pass: nobody else's cache is to keep it, and not beyond the pass.
+        let keep = (self.rundown.limits.pass_ms / 1000.0) as u64;
+        more.push(format!("Cache-Control: private, max-age={keep}"));
+        more.extend(of.tag.iter().map(|tag| format!("ETag: {tag}")));
         if let Some((first, last, whole)) = of.range {
             more.push(format!("Content-Range: bytes {first}-{last}/{whole}"));
         }
--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -8,6 +8,8 @@
 /// A media server's answer head, and a line of chunk size, at most.
 pub const ANSWER_HEAD: usize = 16 << 10;
 const CHUNK_LINE: usize = 256;
+/// A validator at most; a longer one is as none.
+const TAG: usize = 256;
 
 /// A player's request, its head read.
 #[derive(Debug, PartialEq, Eq)]
@@ -17,6 +19,8 @@
     pub keep_alive: bool,
     pub bearer: Option<String>,
     pub range: Option<(u64, Option<u64>)>,
+    /// `If-None-Match`, as it came (RFC 9110, section 13.1.2).
+    pub unless: Option<String>,
 }
 
 /// Why a request is not taken, and how that is answered.
@@ -43,6 +47,7 @@
     };
     let minor = head.version.unwrap_or(1);
     let (mut keep_alive, mut hosts, mut bearer, mut part) = (minor == 1, 0, None, None);
+    let mut unless = None;
     for header in head.headers.iter() {
         let Ok(value) = std::str::from_utf8(header.value).map(str::trim) else {
             return refuse(400, "header value is not text");
@@ -54,6 +59,7 @@
             "content-length" if value == "0" => {}
             "content-length" | "transfer-encoding" => return refuse(413, "requests have no body here"),
             "range" => part = range(value),
+            "if-none-match" => unless = Some(value.to_string()).filter(|v| v.len() <= TAG),
             "authorization" => {
                 if let Some((scheme, token)) = value.split_once(' ') {
                     let token = token.trim().to_string();
@@ -68,7 +74,7 @@
     }
     let (method, target) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
     Ok(Some((
-        Request { method: method.into(), target: target.into(), keep_alive, bearer, range: part },
+        Request { method: method.into(), target: target.into(), keep_alive, bearer, range: part, unless },
         size,
     )))
 }
@@ -82,6 +88,7 @@
         200 => "OK",
         204 => "No Content",
         206 => "Partial Content",
+        304 => "Not Modified",
         400 => "Bad Request",
         401 => "Unauthorized",
         403 => "Forbidden",
@@ -99,11 +106,18 @@
     }
 }
 
-/// Writes an answer's head. `more` are whole header lines.
+/// Writes an answer's head. `more` are whole header lines; where none of them says how long it may be kept, it may
+/// not be.
 pub fn head(out: &mut Vec<u8>, status: u16, length: u64, keep_alive: bool, more: &[String]) {
     let connection = if keep_alive { "keep-alive" } else { "close" };
-    let _ = write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", reason(status));
-    let _ = write!(out, "Connection: {connection}\r\nCache-Control: no-store\r\n");
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\nConnection: {connection}\r\n", reason(status));
+    // Neither has a body, and a length would be that of another answer (RFC 9110, section 8.6).
+    if status != 304 && status != 204 {
+        let _ = write!(out, "Content-Length: {length}\r\n");
+    }
+    if !more.iter().any(|line| line.starts_with("Cache-Control:")) {
+        out.extend_from_slice(b"Cache-Control: no-store\r\n");
+    }
     // Players in browsers come from the portal's pages; the token, not the origin, is what opens anything.
     let _ = write!(out, "Access-Control-Allow-Origin: *\r\nAccess-Control-Expose-Headers: *\r\n");
     more.iter().for_each(|line| {
@@ -129,6 +143,8 @@
     pub load: Option<String>,
     /// First and last byte, and the whole's length, of a partial answer.
     pub range: Option<(u64, u64, u64)>,
+    /// `ETag` (RFC 9110, section 8.8.3).
+    pub tag: Option<String>,
 }
 
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -157,6 +173,7 @@
     };
     let status = head.code.unwrap_or(0);
     let (mut length, mut chunked, mut load, mut range) = (None, false, None, None);
+    let mut tag = None;
     let mut keep_alive = head.version == Some(1);
     for header in head.headers.iter() {
         let value = String::from_utf8_lossy(header.value);
@@ -175,6 +192,7 @@
             "content-range" => {
                 range = Some(content_range(value).ok_or(BadAnswer::Malformed("Content-Range".into()))?);
             }
+            "etag" if (2..=TAG).contains(&value.len()) => tag = Some(value.to_string()),
             pulleystair_orca::HEADER => load = Some(value.to_string()),
             _ => {}
         }
@@ -182,11 +200,11 @@
     let body = match (chunked, length) {
         (true, None) => Body::Chunked(Chunks::default()),
         (true, Some(_)) => return Err(BadAnswer::Malformed("both a length and chunks".into())),
+        (false, _) if status == 204 || status == 304 => Body::Length(0),
         (false, Some(n)) => Body::Length(n),
-        (false, None) if status == 204 || status == 304 => Body::Length(0),
         (false, None) => return Err(BadAnswer::NoLength),
     };
-    Ok(Some((Answer { status, keep_alive, body, load, range }, size)))
+    Ok(Some((Answer { status, keep_alive, body, load, range, tag }, size)))
 }
 
 /// `bytes FIRST-LAST/LENGTH` (RFC 9110, section 14.4).
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -83,6 +83,8 @@
     source: RegistrationToken,
     pub role: Role,
     pub keep_alive: bool,
+    /// The answer's head is wanted without its body.
+    pub bare: bool,
     pub input: Vec<u8>,
     output: Vec<u8>,
     sent: usize,
@@ -275,6 +277,7 @@
             source,
             role,
             keep_alive: true,
+            bare: false,
             input: Vec::new(),
             output: Vec::new(),
             sent: 0,
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -3,12 +3,14 @@
 
 use pulleystair::{Listing, Standing};
 use pulleystair_dash::address;
+use pulleystair_dash::mpd::{self, Presentation};
 use pulleystair_templates::{Fault, load, refused};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,8 +53,62 @@
     /// Held by so many cells in a row from this one.
     pub first_cell: usize,
     pub holders: usize,
+    /// How long it is, and its segments; left out where a manifest tells. 0 for a live title without a known end.
+    #[serde(default)]
     pub duration_ms: u64,
+    #[serde(default)]
     pub segment_ms: u64,
+    pub live: Option<Live>,
+    /// An MPD that describes it, from the list's folder.
+    pub manifest: Option<PathBuf>,
+    /// What all that comes to.
+    #[serde(skip, default = "nothing")]
+    pub shape: Rc<Presentation>,
+}
+
+/// A title that is made while it is shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Live {
+    /// When its first segment began, ms since 1970.
+    pub from_ms: u64,
+    /// How often players ask for the manifest again, and how far back segments are kept.
+    pub update_ms: u64,
+    pub window_ms: u64,
+}
+
+fn nothing() -> Rc<Presentation> {
+    Rc::new(Presentation::plain(String::new(), 1, 1))
+}
+
+impl Title {
+    /// A title of even segments.
+    pub fn shaped(self) -> Title {
+        let mut shape = Presentation::plain(self.name.clone(), self.duration_ms, self.segment_ms);
+        if let Some(live) = self.live {
+            shape.duration_ms = Some(self.duration_ms).filter(|ms| *ms > 0);
+            shape.live = Some(mpd::Live {
+                from_ms: live.from_ms,
+                update_ms: Some(live.update_ms),
+                window_ms: Some(live.window_ms),
+                published_ms: live.from_ms,
+            });
+        }
+        Title { shape: Rc::new(shape), ..self }
+    }
+
+    /// A title as its manifest describes it; an error tells what is wrong with that.
+    fn described(self, folder: &Path, file: &Path) -> Result<Title, String> {
+        let file = folder.join(file);
+        let told = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+        let size = std::fs::metadata(&file).map_err(|e| told(&e))?.len();
+        if size > mpd::MOST_BYTES as u64 {
+            return Err(told(&format!("{size} bytes; {} at most", mpd::MOST_BYTES)));
+        }
+        let text = std::fs::read_to_string(&file).map_err(|e| told(&e))?;
+        let shape = mpd::read(&text).map_err(|e| told(&e))?;
+        Ok(Title { shape: Rc::new(Presentation { title: self.name.clone(), ..shape }), ..self })
+    }
 }
 
 /// What a list must agree with.
@@ -67,13 +123,23 @@
 
 /// The longest title, ms: a day.
 const LONGEST: u64 = 86_400_000;
+/// No clock is further, ms since 1970: the year 9999.
+const FAR: u64 = 253_370_764_800_000;
 /// Servers and titles that a list may hold.
 const MOST: usize = 100_000;
 
 impl List {
     pub fn read(file: &Path, known: &Known) -> Result<List, Fault> {
-        let it: List = load(file)?;
+        let mut it: List = load(file)?;
         it.check(known).map_err(|(path, found, allowed)| refused(file, &path, found, allowed))?;
+        let folder = file.parent().unwrap_or(Path::new(""));
+        let titles = it.titles.into_iter().enumerate().map(|(i, title)| match title.manifest.clone() {
+            None => Ok(title.shaped()),
+            Some(manifest) => title.described(folder, &manifest).map_err(|found| {
+                refused(file, &format!("titles[{i}].manifest"), found, "a manifest that can be read")
+            }),
+        });
+        it.titles = titles.collect::<Result<_, _>>()?;
         Ok(it)
     }
 
@@ -138,12 +204,35 @@
             if title.holders == 0 || title.holders > known.cells {
                 return Err((path("holders"), title.holders.to_string(), "1 to fleet.cells"));
             }
-            if title.duration_ms == 0 || title.duration_ms > LONGEST {
+            if title.manifest.is_some() {
+                if title.duration_ms > 0 || title.segment_ms > 0 || title.live.is_some() {
+                    let found = "duration_ms, segment_ms or live beside it".to_string();
+                    return Err((path("manifest"), found, "either, not both"));
+                }
+                continue;
+            }
+            if (title.duration_ms == 0 && title.live.is_none()) || title.duration_ms > LONGEST {
                 return Err((path("duration_ms"), title.duration_ms.to_string(), "1 to 86400000"));
             }
-            if title.segment_ms == 0 || title.segment_ms > title.duration_ms {
+            let longest = if title.duration_ms == 0 { LONGEST } else { title.duration_ms };
+            if title.segment_ms == 0 || title.segment_ms > longest {
                 return Err((path("segment_ms"), title.segment_ms.to_string(), "1 to duration_ms"));
             }
+            if let Some(live) = title.live {
+                if live.from_ms > FAR {
+                    return Err((path("live.from_ms"), live.from_ms.to_string(), "a time in ms since 1970"));
+                }
+                if live.update_ms == 0 || live.update_ms > LONGEST {
+                    return Err((path("live.update_ms"), live.update_ms.to_string(), "1 to 86400000"));
+                }
+                if live.window_ms < title.segment_ms || live.window_ms > LONGEST {
+                    return Err((
+                        path("live.window_ms"),
+                        live.window_ms.to_string(),
+                        "segment_ms to 86400000",
+                    ));
+                }
+            }
         }
         Ok(())
     }
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -366,6 +366,9 @@
             holders: 1,
             duration_ms: 1000,
             segment_ms: 1000,
+            live: None,
+            manifest: None,
+            shape: Rc::new(pulleystair_dash::mpd::Presentation::plain("t".into(), 1000, 1000)),
         })));
     }
 
--- a/crates/edge/tests/rundown.rs
+++ b/crates/edge/tests/rundown.rs
@@ -86,6 +86,9 @@
 #[test_case("\"zone\": \"south\"", "\"zone\": \"west\"", "servers[1].zone: found \"west\""; "a zone of none")]
 #[test_case("\"holders\": 3", "\"holders\": 0", "titles[0].holders: found 0"; "held by none")]
 #[test_case("\"segment_ms\": 2000", "\"segment_ms\": 0", "titles[0].segment_ms"; "segments without length")]
+#[test_case("\"segment_ms\": 2000", "\"segment_ms\": 2000, \"manifest\": \"a.mpd\"", "titles[0].manifest: found duration_ms"; "described twice")]
+#[test_case("\"segment_ms\": 2000", "\"segment_ms\": 2000, \"live\": { \"from_ms\": 1, \"update_ms\": 0, \"window_ms\": 9000 }", "titles[0].live.update_ms: found 0"; "live without updates")]
+#[test_case("\"segment_ms\": 2000", "\"segment_ms\": 2000, \"live\": { \"from_ms\": 1, \"update_ms\": 1, \"window_ms\": 9 }", "titles[0].live.window_ms: found 9"; "a window of no segment")]
 #[test_case("\"state\": \"ready\"", "\"state\": \"asleep\"", "servers[0].state: unknown variant"; "an unknown state")]
 #[test_case("\"address\": \"127.0.0.1:9100\"", "\"address\": \"m0\"", "servers[0].address"; "no address")]
 fn a_bad_list_is_told_by_place_and_cause(find: &str, put: &str, says: &str) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -41,6 +41,9 @@
         seconds: f64,
         #[arg(long, default_value = "found/load")]
         out: PathBuf,
+        /// Players, front and servers speak TLS
+        #[arg(long)]
+        tls: bool,
         #[arg(long)]
         edge: Option<PathBuf>,
     },
@@ -106,10 +109,10 @@
             println!("report.json, plays.svg, seen.jsonl and the fronts' logs are in {}", out.display());
             Ok(outcome.breaches.is_empty())
         }
-        Job::Load { seconds, out, edge } => {
+        Job::Load { seconds, out, tls, edge } => {
             let program = Program::edge(edge.map_or_else(beside, Ok)?);
             let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-            let costs = runtime.block_on(load::run(program, &out, seconds))?;
+            let costs = runtime.block_on(load::run(program, &out, seconds, tls))?;
             print!("{}", costs.text());
             std::fs::write(out.join("load.json"), serde_json::to_string_pretty(&costs)?)?;
             Ok(true)
