Add fuzz targets for MPDs, tokens, requests and load reports, their corpora run by the tests

What must hold of outside input stands in crates/fuzzed: an MPD that reads is written so that it reads as the same, no token but ours opens anything, heads and chunks read the same wherever they are cut, load reports are finite or refused. cargo-fuzz calls it on made-up bytes, the tests on the corpora.

--- /dev/null
+++ b/crates/fuzzed/src/lib.rs
@@ -0,0 +1,126 @@
+//! What must hold of whatever comes in from outside. Each function takes bytes and panics if something does not
+//! hold; the fuzz targets in `fuzz/` call them with what they make up, the tests with the corpora kept there.
+
+use jsonwebtoken::{Algorithm, EncodingKey, Header, encode};
+use pulleystair_dash::address::{self, Address};
+use pulleystair_dash::mpd;
+use pulleystair_dash::token::{Fault, LONGEST, Ring};
+use pulleystair_edge::http::{self, Body, Chunks};
+
+/// An MPD that reads is written so that it reads as the same, and its segments can be asked for.
+pub fn mpd(bytes: &[u8]) {
+    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    let Ok(it) = mpd::read(text) else { return };
+    assert_eq!(mpd::read(&it.write()), Ok(it.clone()), "it reads as it was written");
+    let segments = it.segments();
+    assert!(segments.is_none_or(|n| n > 0 && n <= mpd::MOST_SEGMENTS));
+    for now in [0, 1, 1_764_600_716_250, u64::MAX] {
+        if let Some((first, last)) = it.available(now) {
+            assert!(first <= last && segments.is_none_or(|all| last <= all), "{first} to {last}");
+        }
+    }
+    for time in [0, 1, 90_000, u64::MAX] {
+        let found = it.at_time(1, time);
+        assert!(found.is_none_or(|n| n > 0 && segments.is_none_or(|all| n <= all)));
+    }
+}
+
+const KID: &str = "fuzzed";
+
+fn ring() -> Ring {
+    Ring::new(&[(KID.into(), vec![7; 32])]).expect("a long key is a ring")
+}
+
+/// A token that we did not sign opens nothing and is told why; claims that we signed are read or refused.
+pub fn token(bytes: &[u8]) {
+    let ring = ring();
+    let text = String::from_utf8_lossy(bytes);
+    let now = 1_764_600_000;
+    for fault in [ring.entry(&text, now, "guide", "forms").err(), ring.pass(&text, now).err()] {
+        let Some(fault) = fault else { continue };
+        assert!([401, 403, 410].contains(&fault.status()));
+        assert!(text.len() <= LONGEST || fault == Fault::TooLong);
+    }
+    // Nobody but us has the key: what reads at all must be of our making, to the letter.
+    if let Ok(pass) = ring.signed_pass(&text, now) {
+        assert!(text.split('.').count() == 3 && ring.signed_pass(&ring.sign(&pass), now) == Ok(pass));
+    }
+    // The same bytes as claims under a good signature, and under the wrong algorithm.
+    let Ok(claims) = serde_json::from_slice::<serde_json::Value>(bytes) else { return };
+    for algorithm in [Algorithm::HS256, Algorithm::HS512] {
+        let header = Header { kid: Some(KID.into()), ..Header::new(algorithm) };
+        let Ok(signed) = encode(&header, &claims, &EncodingKey::from_secret(&[7; 32])) else { continue };
+        let entry = ring.entry(&signed, now, "guide", "forms");
+        assert!(algorithm == Algorithm::HS256 || entry.is_err(), "only one algorithm is taken");
+        if let Ok(entry) = entry {
+            assert!(entry.exp > now && !entry.jti.is_empty() && entry.jti.len() <= 64);
+            assert_eq!((entry.product.as_str(), entry.title.as_str()), ("guide", "forms"));
+        }
+    }
+}
+
+/// A request's head is read the same wherever it is cut, and so is what its target and its range say.
+pub fn request(bytes: &[u8]) {
+    const MOST: usize = 2048;
+    let whole = http::request(bytes, MOST);
+    if let Ok(Some((request, used))) = &whole {
+        assert!(*used <= bytes.len().min(MOST));
+        assert_eq!(http::request(&bytes[..*used], MOST), whole, "what follows changes nothing");
+        assert!(!matches!(http::request(&bytes[..used - 1], MOST), Ok(Some(_))), "it ends where it ends");
+        target(&request.target);
+    }
+    if let Ok(text) = std::str::from_utf8(bytes) {
+        target(text);
+        if let Some((first, last)) = http::range(text) {
+            assert!(last.is_none_or(|last| first <= last));
+        }
+    }
+    answer(bytes);
+}
+
+fn target(text: &str) {
+    match address::read(text) {
+        Some(Address::Manifest { product, title, .. }) => {
+            assert!(address::name(product) && address::name(title));
+        }
+        Some(Address::Segment { pass, .. } | Address::Again { pass } | Address::Session { pass }) => {
+            assert!(!pass.is_empty() && !pass.contains('/'));
+        }
+        Some(Address::Time) | None => {}
+    }
+}
+
+/// A media server's answer is read within bounds, and chunks come out the same wherever they are cut.
+fn answer(bytes: &[u8]) {
+    let Ok(Some((answer, used))) = http::answer(bytes) else { return };
+    assert!(used <= bytes.len().min(http::ANSWER_HEAD));
+    if !matches!(answer.body, Body::Chunked(_)) {
+        return;
+    }
+    let feed = |parts: [&[u8]; 2]| {
+        let (mut chunks, mut input, mut out) = (Chunks::default(), Vec::new(), Vec::new());
+        for part in parts {
+            input.extend_from_slice(part);
+            match chunks.feed(&mut input, &mut out) {
+                Ok(true) => return Ok((out, true)),
+                Ok(false) => {}
+                Err(_) => return Err(()),
+            }
+        }
+        Ok((out, false))
+    };
+    let body = &bytes[used..];
+    let whole = feed([body, &[]]);
+    for cut in [body.len() / 2, body.len().min(1), body.len().saturating_sub(1)] {
+        assert_eq!(feed([&body[..cut], &body[cut..]]), whole, "cut at {cut}");
+    }
+}
+
+/// A load report holds finite figures or is refused.
+pub fn orca(bytes: &[u8]) {
+    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    if let Ok(report) = pulleystair_orca::read(text) {
+        let figures = report.named_metrics.values().chain(report.utilization.values());
+        assert!(figures.copied().all(f64::is_finite), "{report:?}");
+    }
+}
