--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,9 +3,13 @@
 //! [`limit`] adapts how many plays may be decided at once to measured set-up delay; [`queue`] chooses who of
 //! those that wait is taken next and who is told at once that there is no time left; [`reads`] decides what
 //! becomes of a segment's read that failed, within a budget that keeps a sick server from being buried by its
-//! own repeats; [`lag`] whether a front's own loop is behind. Where a play goes, and every allocation of it, stays with the placing module.
+//! own repeats; [`lag`] whether a front's own loop is behind; [`homes`] which of several fronts may take a session that
+//! is to be set up once only; [`wall`] the time of day by which tokens are judged. Where a play goes, and every
+//! allocation of it, stays with the placing module.
 
+pub mod homes;
 pub mod lag;
 pub mod limit;
 pub mod queue;
 pub mod reads;
+pub mod wall;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,17 +10,19 @@
 use crate::lines::{Doing, Errand, Key, Lines, Role, Stage, What};
 use crate::listing::{Known, List, Watched};
 use crate::reading::Reading;
-use crate::rundown::{Keys, Rundown};
+use crate::rundown::{Effect, Keys, Rundown, homes};
 use crate::seals::Seals;
 use crate::sessions::{Asked, Book, Bounds, Final, Life, Request};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use pulleystair::{Figure, Outcome};
+use pulleystair_admission::homes::home;
 use pulleystair_admission::lag::Lag;
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{Budget, Fault};
+use pulleystair_admission::wall::Wall;
 use pulleystair_dash::address::{self, Address, Which};
 use pulleystair_desk::{Desk, Wish};
 use std::cmp::Reverse;
@@ -28,7 +30,7 @@
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{debug, error, info, warn};
 
 /// A line of a server's notes at most, bytes.
@@ -60,6 +62,10 @@
     List::read(&rundown.list, &known(rundown))
 }
 
+fn since_1970() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// The signals to stop and to look at all files anew, held back for the loop to read. To be called before any thread starts: a thread that does
 /// not hold them back would end the process.
 pub fn stop_signals() -> anyhow::Result<Signals> {
@@ -98,6 +104,7 @@
         edge.ring();
         let now = edge.floor.now();
         edge.floor.lag.round_ends(now);
+        edge.floor.wall.look(now, since_1970().as_secs_f64() * 1000.0);
     }
     info!(target: "front", left = edge.floor.book.held().len(), "stopped");
     Ok(())
@@ -105,7 +112,7 @@
 
 impl Edge {
     fn new(rundown: Rundown, handle: LoopHandle<'static, Edge>) -> anyhow::Result<Edge> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = since_1970();
         let seed = rundown.seed.unwrap_or(since.as_nanos() as u64);
         let limits = &rundown.limits;
         let bounds = Bounds {
@@ -135,6 +142,9 @@
             limit: Limit::new(rundown.admission.limit()),
             out: 0,
             lag: Lag::default(),
+            wall: Wall::new(since.as_secs_f64() * 1000.0),
+            homes: Vec::new(),
+            homes_file: rundown.homes.clone().map(Watched::new),
             handle,
             door: None,
             book: Book::new(bounds),
@@ -158,6 +168,7 @@
         let mut edge = Edge { desk: Desk::new(floor.rundown.call_sheet(), seed), floor };
         let list = read_list(&edge.floor.rundown)?;
         edge.take_list(list);
+        edge.look_at_homes();
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.list_poll_ms, Clock::List);
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.keys_poll_ms, Clock::Keys);
         Ok(edge)
@@ -223,18 +234,35 @@
     fn look_at_seals(&mut self) {
         let floor = &mut self.floor;
         let near = (floor.rundown.limits.expiry_ms / 1000.0) as u64;
-        if floor.seals.look((floor.now() / 1000.0) as u64, near) {
+        if floor.seals.look((floor.time_of_day() / 1000.0) as u64, near) {
             let idle: Vec<Key> = floor.servers.iter_mut().flat_map(|s| std::mem::take(&mut s.idle)).collect();
             idle.into_iter().for_each(|key| floor.drop_errands_line(key));
         }
     }
 
+    /// Takes up where the fronts are to be had. Until that is known this front takes what comes.
+    fn look_at_homes(&mut self) {
+        let floor = &mut self.floor;
+        let Some(watched) = floor.homes_file.as_mut() else { return };
+        if watched.replaced() {
+            match homes(watched.file(), floor.rundown.fronts) {
+                Ok(homes) => {
+                    info!(target: "list", ?homes, "homes taken");
+                    floor.homes = homes;
+                }
+                Err(e) => error!(target: "list", "homes not taken, those in hand stay: {e}"),
+            }
+        }
+    }
+
     /// Told to look at all files now.
     fn look_at_all(&mut self) {
         info!(target: "front", "looks at list, keys and certificates anew");
         self.floor.watched.again();
         self.floor.keys.iter_mut().for_each(Watched::again);
         self.floor.seals.again();
+        self.floor.homes_file.iter_mut().for_each(Watched::again);
+        self.look_at_homes();
         self.look_at_list();
         self.look_at_keys();
         self.look_at_seals();
@@ -243,7 +271,7 @@
     /// Puts replaced keys in service: checked whole first, so that of a bad set nothing is taken.
     fn look_at_keys(&mut self) {
         let floor = &mut self.floor;
-        let now = floor.now();
+        let now = floor.time_of_day();
         let overlap = (floor.rundown.limits.key_overlap_ms / 1000.0).ceil() as u64;
         let Some(watched) = floor.keys.as_mut() else { return };
         if !watched.replaced() {
@@ -422,7 +450,7 @@
             ("GET" | "HEAD", Some(Address::Time)) => {
                 words(200, &pulleystair_dash::mpd::date(self.floor.now() as u64))
             }
-            ("GET" | "HEAD", Some(Address::Again { pass })) => match self.floor.playing(pass) {
+            ("GET" | "HEAD", Some(Address::Again { pass })) => match self.floor.playing(key, pass) {
                 Ok(play) => self.floor.asked_again(play),
                 Err(answer) => answer,
             },
@@ -442,7 +470,7 @@
                     None => return,
                 }
             }
-            ("DELETE", Some(Address::Session { pass })) => match self.floor.playing(pass) {
+            ("DELETE", Some(Address::Session { pass })) => match self.floor.playing(key, pass) {
                 Ok(play) => {
                     self.finish(play, "viewer left");
                     words(200, "ended")
@@ -458,7 +486,8 @@
     fn manifest(&mut self, key: Key, product: &str, title: &str, token: &str) -> Option<Final> {
         let floor = &mut self.floor;
         let now = floor.now();
-        let by_slow_clocks = ((now - floor.rundown.limits.skew_ms) / 1000.0).max(0.0) as u64;
+        let from = floor.lines.get(key).and_then(|line| line.from());
+        let by_slow_clocks = ((floor.time_of_day() - floor.rundown.limits.skew_ms) / 1000.0).max(0.0) as u64;
         let entry = match floor.entry_keys.entry(token, by_slow_clocks, product, title) {
             Ok(entry) if floor.revoked.contains(&entry.jti) => {
                 return Some(words(403, "this session was revoked"));
@@ -475,20 +504,35 @@
             return Some(words(404, "that title is listed no more"));
         }
         let limit = now + rundown.products[product].time_limit_ms;
+        let known = floor.book.by_id(&entry.jti).is_some();
+        let once = rundown.products[product].effect != Effect::ReadLike;
+        if once && !known && floor.homes.len() == rundown.fronts {
+            let home = home(&entry.jti, rundown.fronts);
+            if home != rundown.rank {
+                let at = format!(
+                    "//{}{}",
+                    floor.homes[home],
+                    address::manifest(&entry.product, &entry.title, token)
+                );
+                let answer = words(307, "this session is at home at another front");
+                return Some(Final { location: Some(at.into()), ..answer });
+            }
+        }
         let request = Request {
             id: &entry.jti,
             viewer: &entry.sub,
+            from,
             product,
             title,
             show: &show,
             top: entry.top,
             limit,
         };
-        if floor.stopping && floor.book.by_id(&entry.jti).is_none() {
+        if floor.stopping && !known {
             return Some(floor.away("this front is stopping"));
         }
         let behind = floor.lag.behind(now, floor.rundown.admission.behind_ms);
-        if behind && floor.book.by_id(&entry.jti).is_none() {
+        if behind && !known {
             return Some(floor.away("this front is behind with its work"));
         }
         match floor.book.ask(now, &request, key) {
@@ -567,7 +611,7 @@
     ) -> Option<Final> {
         let floor = &mut self.floor;
         let now = floor.now();
-        let play = match floor.playing(pass) {
+        let play = match floor.playing(key, pass) {
             Ok(play) => play,
             Err(answer) => return Some(answer),
         };
@@ -580,7 +624,7 @@
         };
         let number = number.filter(|_| rung < floor.rundown.ladder.len());
         let Some(number) = number else { return Some(words(404, "no such segment")) };
-        match shape.available(now as u64) {
+        match shape.available(floor.wall.at(now) as u64) {
             _ if number == 0 => {}
             Some((first, _)) if number < first => return Some(words(404, "that segment is kept no more")),
             Some((_, last)) if number <= last => {}
@@ -588,6 +632,9 @@
             _ => return Some(words(404, "no such segment")),
         }
         session.last_asked = now;
+        if session.fetching >= floor.rundown.limits.fetches {
+            return Some(Final { retry_after: Some(1), ..words(429, "too many reads of this play at once") });
+        }
         session.fetching += 1;
         let (rung, server) = (rung.min(session.rung), session.server.unwrap_or(0));
         let n = session.allocations();
@@ -943,6 +990,7 @@
                     self.floor.clock(now + self.floor.rundown.limits.keys_poll_ms, Clock::Keys);
                     self.look_at_keys();
                     self.look_at_seals();
+                    self.look_at_homes();
                 }
                 Clock::Accept => self.floor.take_connections(true),
                 Clock::Stop => self.give_up(),
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -15,6 +15,7 @@
 use pulleystair_admission::limit::Limit;
 use pulleystair_admission::queue::Queue;
 use pulleystair_admission::reads::{self, Budget, Next};
+use pulleystair_admission::wall::Wall;
 use pulleystair_dash::address;
 use pulleystair_dash::mpd::Presentation;
 use pulleystair_dash::token::{Fault, Pass, Ring};
@@ -83,6 +84,11 @@
     pub(crate) limit: Limit,
     pub(crate) out: usize,
     pub(crate) lag: Lag,
+    pub(crate) wall: Wall,
+    /// Where the fronts of this fleet are to be had by players, by rank, and the file that tells; none where they
+    /// may all set up any session.
+    pub(crate) homes: Vec<String>,
+    pub(crate) homes_file: Option<Watched>,
     pub(crate) watched: Watched,
     /// Every title ever listed has a number of its own; what is listed now is told beside what it is.
     pub(crate) titles: HashMap<(usize, String), usize>,
@@ -106,7 +112,7 @@
 }
 
 pub(crate) fn words(status: u16, why: &str) -> Final {
-    Final { status, body: format!("{why}\n").into(), retry_after: None }
+    Final { status, body: format!("{why}\n").into(), retry_after: None, location: None }
 }
 
 impl Floor {
@@ -115,6 +121,11 @@
         self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// ms since 1970 as tokens and live titles have it.
+    pub(crate) fn time_of_day(&self) -> f64 {
+        self.wall.at(self.now())
+    }
+
     pub(crate) fn clock(&mut self, at: f64, clock: Clock) {
         self.clocks.push(Reverse(((at * 1000.0).max(0.0).ceil() as u64, clock)));
     }
@@ -180,8 +191,9 @@
         } else {
             "Content-Type: text/plain; charset=utf-8"
         };
-        let date = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs_f64(self.now() / 1000.0));
+        let date = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs_f64(self.time_of_day() / 1000.0));
         let mut more = vec![kind.to_string(), format!("Date: {date}")];
+        more.extend(answer.location.iter().map(|at| format!("Location: {at}")));
         if let Some(s) = answer.retry_after {
             more.push(format!("Retry-After: {s}"));
         }
@@ -265,8 +277,9 @@
     ///
     /// Each use of a pass renews it: while its play runs it opens that play for `pass_ms` after its last use,
     /// whatever its own time was; a player that paused for longer asks for the manifest again.
-    pub(crate) fn playing(&mut self, pass: &str) -> Result<u64, Final> {
-        let (now, limits) = (self.now(), &self.rundown.limits);
+    pub(crate) fn playing(&mut self, player: Key, pass: &str) -> Result<u64, Final> {
+        let from = self.lines.get(player).and_then(|line| line.from());
+        let (now, limits) = (self.time_of_day(), &self.rundown.limits);
         let pass = self.pass_keys.signed_pass(pass, (now / 1000.0) as u64);
         let pass = pass.map_err(|fault| words(fault.status(), &fault.to_string()))?;
         let gone = || words(410, "this session does not play here");
@@ -276,6 +289,9 @@
             let told = session.answer().filter(|answer| answer.status == 410);
             return Err(told.cloned().unwrap_or_else(gone));
         }
+        if limits.same_address && session.from != from {
+            return Err(words(403, "this session is another viewer's"));
+        }
         let title = &session.show;
         if (title.product.as_str(), title.name.as_str()) != (pass.product.as_str(), pass.title.as_str()) {
             return Err(words(403, "token is for another title or product"));
@@ -298,7 +314,7 @@
             sid: session.id.clone(),
             product: product.name.clone(),
             title: title.name.clone(),
-            exp: ((self.now() + self.rundown.limits.pass_ms) / 1000.0).ceil() as u64,
+            exp: ((self.time_of_day() + self.rundown.limits.pass_ms) / 1000.0).ceil() as u64,
         };
         let pass = self.pass_keys.sign(&pass);
         let bits = |rung: &Rung| ((rung.rate_kb * product.scale * 8000.0).ceil() as u64).max(1);
@@ -307,7 +323,7 @@
         presentation.base = address::base(&pass);
         presentation.location = presentation.live.is_some().then(|| address::again(&pass));
         presentation.periods.iter_mut().for_each(|period| period.bandwidths = bandwidths.clone());
-        Some(Final { status: 200, body: presentation.write().into(), retry_after: None })
+        Some(Final { status: 200, body: presentation.write().into(), retry_after: None, location: None })
     }
 
     /// The manifest of a play that runs, asked for by its pass.
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -12,7 +12,7 @@
 use rustls::Connection as Seal;
 use slab::Slab;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{IpAddr, Shutdown, TcpStream};
 use std::rc::Rc;
 
 /// A line by its place and, in the upper half, its generation: the key of a closed one is never used again.
@@ -126,6 +126,11 @@
         self.input.len() > before
     }
 
+    /// Whose connection it is.
+    pub fn from(&self) -> Option<IpAddr> {
+        self.stream.peer_addr().ok().map(|at| at.ip())
+    }
+
     pub fn write(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
     }
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -38,6 +38,9 @@
     pub reads: Reads,
     #[serde(default)]
     pub admission: Admission,
+    /// A file that tells where players reach each front, by rank, as a list of `HOST:PORT`; looked at like the keys.
+    /// With it a session of a product that may not be set up twice is taken by its home alone.
+    pub homes: Option<PathBuf>,
     /// Keys of the portal's entry tokens, and of this fleet's session tokens; the first one signs.
     #[serde(default)]
     pub entry_keys: Vec<KeyFile>,
@@ -239,8 +242,11 @@
     pub deciding: usize,
     pub plays: usize,
     pub sessions: usize,
-    /// Requests that may wait on one session's answer.
+    /// Requests that may wait on one session's answer, and reads of one play's segments at once.
     pub waiters: usize,
+    pub fetches: usize,
+    /// A pass opens its play only from the address that asked for it. Viewers behind changing addresses lose theirs.
+    pub same_address: bool,
     /// Connections for segments, steps and probes to one server, and errands that may wait for one.
     pub server_connections: usize,
     pub server_queue: usize,
@@ -283,6 +289,8 @@
             plays: 10_000,
             sessions: 40_000,
             waiters: 8,
+            fetches: 16,
+            same_address: false,
             server_connections: 64,
             server_queue: 256,
             server_idle_ms: 20_000.0,
@@ -395,6 +403,7 @@
         let folder = file.parent().unwrap_or(Path::new(""));
         it.list = folder.join(&it.list);
         it.keys = it.keys.map(|keys| folder.join(keys));
+        it.homes = it.homes.map(|homes| folder.join(homes));
         it.tls.players = it.tls.players.map(|tls| folder.join(tls));
         it.tls.servers = it.tls.servers.map(|tls| folder.join(tls));
         for key in it.entry_keys.iter_mut().chain(&mut it.pass_keys) {
@@ -541,6 +550,7 @@
             ("plays", l.plays),
             ("sessions", l.sessions),
             ("waiters", l.waiters),
+            ("fetches", l.fetches),
             ("server_connections", l.server_connections),
             ("server_queue", l.server_queue),
         ];
@@ -646,6 +656,20 @@
     }
 }
 
+/// Reads where players reach the fronts of a fleet, so many of them.
+pub fn homes(file: &Path, fronts: usize) -> Result<Vec<String>, Fault> {
+    let homes: Vec<String> = load(file)?;
+    if homes.len() != fronts {
+        return Err(refused(file, "homes", format!("{} of them", homes.len()), "one for each front"));
+    }
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-.:[]".contains(&b);
+    let bad = homes.iter().position(|at| at.is_empty() || at.len() > 255 || !at.bytes().all(plain));
+    match bad {
+        Some(i) => Err(refused(file, &format!("[{i}]"), format!("{:?}", homes[i]), "HOST or HOST:PORT")),
+        None => Ok(homes),
+    }
+}
+
 /// The secrets of keys, from their files; a line end after them is left out.
 fn secrets(folder: &Path, keys: &[KeyFile]) -> Result<Secrets, String> {
     let read = |key: &KeyFile| {
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -7,6 +7,7 @@
 
 use crate::listing::Title;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 /// A final answer to a manifest request.
@@ -17,6 +18,8 @@
     pub body: Rc<str>,
     /// Seconds to stay away.
     pub retry_after: Option<u64>,
+    /// Where to ask instead.
+    pub location: Option<Rc<str>>,
 }
 
 /// Where a session is in its life.
@@ -74,6 +77,8 @@
 pub struct Session {
     pub id: String,
     pub viewer: String,
+    /// The address that it was first asked for from.
+    pub from: Option<IpAddr>,
     pub product: usize,
     /// The title's number, and what the list said of it when the play was asked for.
     pub title: usize,
@@ -139,6 +144,7 @@
 pub struct Request<'a> {
     pub id: &'a str,
     pub viewer: &'a str,
+    pub from: Option<IpAddr>,
     pub product: usize,
     pub title: usize,
     pub show: &'a Rc<Title>,
@@ -277,6 +283,7 @@
         let session = Session {
             id: it.id.to_string(),
             viewer: it.viewer.to_string(),
+            from: it.from,
             product: it.product,
             title: it.title,
             show: it.show.clone(),
@@ -373,11 +380,20 @@
     }
 
     fn request(id: &str) -> Request<'_> {
-        Request { id, viewer: "v", product: 0, title: 0, show: SHOW.with(|s| *s), top: 1, limit: 1000.0 }
+        Request {
+            id,
+            viewer: "v",
+            from: None,
+            product: 0,
+            title: 0,
+            show: SHOW.with(|s| *s),
+            top: 1,
+            limit: 1000.0,
+        }
     }
 
     fn answer(status: u16) -> Final {
-        Final { status, body: "".into(), retry_after: None }
+        Final { status, body: "".into(), retry_after: None, location: None }
     }
 
     #[test]
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -7,7 +7,7 @@
 use pulleystair_boxes::world::Ails;
 use pulleystair_dash::address;
 use pulleystair_dash::token::Entry;
-use pulleystair_lab::fronts::{FRONT, Program, portal};
+use pulleystair_lab::fronts::{FRONT, Program};
 use pulleystair_lab::script::Day;
 use pulleystair_lab::set::Set;
 use pulleystair_witness::rules::check;
@@ -101,7 +101,7 @@
     }
 
     pub fn token(&self, session: &str, product: usize) -> String {
-        portal().sign(&Entry {
+        self.fronts.sign(&Entry {
             jti: session.into(),
             sub: "viewer".into(),
             product: self.day.products[product].name.clone(),
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -22,6 +22,8 @@
 struct Front {
     child: Option<Child>,
     address: Option<SocketAddr>,
+    /// Where it is, or was when it last ran.
+    home: Option<SocketAddr>,
 }
 
 /// What is run as a front: a program, and its words before the rundown's file.
@@ -133,6 +135,7 @@
         "reads": day.reads,
         "admission": day.admission,
         "keys": "keys.json",
+        "homes": if day.fronts > 1 { json!("homes.json") } else { json!(null) },
         "tls": if day.tls { json!({ "players": "players", "servers": "servers" }) } else { json!({}) },
     })
 }
@@ -144,7 +147,7 @@
             let text = serde_json::to_string_pretty(&rundown(day, front))?;
             std::fs::write(folder.join(format!("front-{front}.json")), text)?;
         }
-        let all = (0..day.fronts).map(|_| Front { child: None, address: None }).collect();
+        let all = (0..day.fronts).map(|_| Front { child: None, address: None, home: None }).collect();
         let fronts = Fronts {
             program,
             folder: folder.into(),
@@ -241,7 +244,12 @@
             sleep(Duration::from_millis(5)).await;
         };
         let mut all = self.all.lock().expect("nobody dies while holding the fronts");
-        all[front] = Front { child: Some(child), address: Some(address) };
+        all[front] = Front { child: Some(child), address: Some(address), home: Some(address) };
+        // Players' way to each front is known once all have been started.
+        let homes: Option<Vec<SocketAddr>> = all.iter().map(|front| front.home).collect();
+        if let Some(homes) = homes.filter(|homes| homes.len() > 1) {
+            put(&self.folder.join("homes.json"), serde_json::to_string(&homes)?.as_bytes())?;
+        }
         self.log.saw(What::Front { front, up: true });
         Ok(address)
     }
@@ -307,6 +315,12 @@
         Some((ticks * 10.0, memory.parse().ok()?))
     }
 
+    /// The front that is to be had there.
+    pub fn at(&self, address: SocketAddr) -> Option<usize> {
+        let all = self.all.lock().expect("nobody dies while holding the fronts");
+        all.iter().position(|front| front.address == Some(address))
+    }
+
     /// Where a viewer of this zone may ask: a front of the zone that runs, or any if none does. `draw` picks.
     pub fn pick(&self, zone: usize, draw: u64) -> Option<(usize, SocketAddr)> {
         let all = self.all.lock().expect("nobody dies while holding the fronts");
--- a/crates/lab/src/players.rs
+++ b/crates/lab/src/players.rs
@@ -145,7 +145,25 @@
                 continue;
             };
             let mut stay_away = 800.0 + 1300.0 * rnd.random::<f64>();
-            match self.ask(front, address, &session, &arrival, &mut rnd).await {
+            let mut address = address;
+            let mut told = self.ask(front, address, &session, &arrival, &mut rnd).await;
+            if let Told::Answer(answer) = &told
+                && answer.status == 307
+            {
+                // A session is at home at one front; a home that is away is a connection that can't be had.
+                let there = answer
+                    .header("location")
+                    .and_then(|at| at.strip_prefix("//")?.split('/').next()?.parse().ok());
+                let home = there.and_then(|there| Some((self.fronts.at(there)?, there)));
+                told = match home {
+                    Some((front, there)) => {
+                        address = there;
+                        self.ask(front, there, &session, &arrival, &mut rnd).await
+                    }
+                    None => Told::Cut,
+                };
+            }
+            match told {
                 Told::Answer(answer) => {
                     seen.status = answer.status;
                     if answer.status == 200 {
