--- /dev/null
+++ b/crates/dash/benches/path.rs
@@ -0,0 +1,66 @@
+//! What a manifest request costs in tokens and MPDs: `cargo bench -p pulleystair-dash`.
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use pulleystair_dash::mpd::{self, Entry as S, Period, Presentation, Segments};
+use pulleystair_dash::token::{Entry, Pass, Ring};
+use std::hint::black_box;
+
+const NOW: u64 = 1_764_600_000;
+
+fn ring(kids: &[&str]) -> Ring {
+    let keys: Vec<(String, Vec<u8>)> = kids.iter().map(|kid| (kid.to_string(), vec![7; 32])).collect();
+    Ring::new(&keys).expect("long keys are a ring")
+}
+
+fn tokens(c: &mut Criterion) {
+    let ring = ring(&["new", "old", "older"]);
+    let (product, title) = ("guide".to_string(), "forms-12".to_string());
+    let jti = "0f3c7a5e9b1d4826".to_string();
+    let sub = "viewer-81723".to_string();
+    let entry = Entry {
+        jti: jti.clone(),
+        sub,
+        product: product.clone(),
+        title: title.clone(),
+        top: 4,
+        exp: NOW + 60,
+    };
+    let pass = Pass { sid: jti, product: product.clone(), title: title.clone(), exp: NOW + 60 };
+    let (entry, signed) = (ring.sign(&entry), ring.sign(&pass));
+    let forged = format!("{}AA", &signed[..signed.len() - 2]);
+    let mut group = c.benchmark_group("tokens");
+    group.throughput(Throughput::Elements(1));
+    group.bench_function("check an entry", |b| {
+        b.iter(|| ring.entry(black_box(&entry), NOW, &product, &title).is_ok())
+    });
+    group.bench_function("check a pass", |b| b.iter(|| ring.pass(black_box(&signed), NOW).is_ok()));
+    group.bench_function("refuse a forged pass", |b| b.iter(|| ring.pass(black_box(&forged), NOW).is_err()));
+    group.bench_function("sign a pass", |b| b.iter(|| ring.sign(black_box(&pass))));
+    group.finish();
+}
+
+fn manifests(c: &mut Criterion) {
+    let bandwidths: Vec<u64> = (1..=5).map(|n| n * 400_000).collect();
+    let mut plain = Presentation::plain("forms-12".into(), 600_000, 2000);
+    plain.base = format!("/s/{}/", "x".repeat(200));
+    plain.periods[0].bandwidths = bandwidths.clone();
+    let entries = (0..300).map(|n| S { start: n * 400_000, duration: 180_000 + n % 7, repeat: 1 }).collect();
+    let segments = Segments::Timeline { timescale: 90_000, entries, by_time: true };
+    let timeline = Presentation {
+        periods: vec![Period { id: "1".into(), start_ms: 0, segments, bandwidths }],
+        ..plain.clone()
+    };
+    let mut group = c.benchmark_group("MPDs");
+    group.throughput(Throughput::Elements(1));
+    for (name, it) in [("plain", &plain), ("of 300 timeline entries", &timeline)] {
+        let text = it.write();
+        assert_eq!(mpd::read(&text).as_ref(), Ok(it));
+        group.bench_function(format!("write a {name} one"), |b| b.iter(|| black_box(it).write()));
+        group
+            .bench_function(format!("read a {name} one"), |b| b.iter(|| mpd::read(black_box(&text)).is_ok()));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, tokens, manifests);
+criterion_main!(benches);
--- a/crates/edge/tests/days.rs
+++ b/crates/edge/tests/days.rs
@@ -40,7 +40,8 @@
     let program = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
     let outcome = play(short(seed), program, folder.path()).await.expect("the day is played");
     let count = |is: fn(&What) -> bool| outcome.seen.iter().filter(|s| is(&s.what)).count();
-    let (asked, set_up) = (count(|w| matches!(w, What::Asked { .. })), count(|w| matches!(w, What::SetUp { .. })));
+    let (asked, set_up) =
+        (count(|w| matches!(w, What::Asked { .. })), count(|w| matches!(w, What::SetUp { .. })));
     let fetched = count(|w| matches!(w, What::Fetched { .. }));
     assert!(asked > 50 && set_up > 30 && fetched > 50, "{asked} asked, {set_up} set-ups, {fetched} fetched");
     assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
--- a/examples/storm.jsonnet
+++ b/examples/storm.jsonnet
@@ -1,9 +1,11 @@
-// A storm: for eight seconds four times as many plays are asked for as the fleet can set up, and whoever is not
-// served comes again. What is looked at is whether service comes back once the cause is gone.
+// A storm: for eight seconds four times as many plays are asked for as the fleet can set up (200 a second), and whoever
+// is not served comes again. What is looked at is whether service comes back once the cause is gone.
 //
-// `times` is the size of the surge over the usual rate; without the adaptive limit: `admission: { least: 1e6, most: 1e6 }`.
+// `times` is the surge over what the fleet can set up, `usual` what is asked for before and after; without the adaptive
+// limit: `admission: { least: 1e6, most: 1e6, work_ms: 1e9 }`.
 local bad = import 'bad-day.jsonnet';
 local times = 4;
+local usual = 110;
 bad {
   seconds: 30,
   fronts: 2,
@@ -22,6 +24,6 @@
   ladder: [{ rate_kb: 4, earns: 0.5 }, { rate_kb: 8, earns: 1 }],
   products: [super.products[0] { part: 1, titles: 12, holders: 6, seconds: [2, 3], time_limit_ms: 2500 }],
   rules+: { budget: null },
-  players+: { per_s: 150, come_back: 0.95, leave: 0, ask_twice: 0, ask_again: 0.02 },
-  troubles: [{ kind: 'surge', at_s: 6, length_s: 8, size: times * 200 / 150 }],
+  players+: { per_s: usual, come_back: 0.95, leave: 0, ask_twice: 0, ask_again: 0.02 },
+  troubles: [{ kind: 'surge', at_s: 6, length_s: 8, size: times * 200 / usual }],
 }
