Take the front's loop apart into players, servers and watched files

It keeps the loop, clocks and stopping; what players ask for, what comes from media servers and the files that are looked at have modules of their own. Two stories that count limits no longer depend on how busy the machine is.

--- /dev/null
+++ b/crates/edge/src/servers.rs
@@ -0,0 +1,291 @@
+//! What comes from media servers: set-ups' answers, the notes on plays that run, and the answers to errands.
+
+use crate::edge::Edge;
+use crate::floor::{figures, note_figures, words};
+use crate::http::{self, Body};
+use crate::lines::{Doing, Key, Role, Stage, What};
+use crate::sessions::Life;
+use pulleystair::{Figure, Outcome};
+use pulleystair_admission::reads::Fault;
+use tracing::{debug, warn};
+
+/// A line of a server's notes at most, bytes.
+const NOTE_LINE: usize = 4096;
+
+/// Answers that nobody waits for are read to their end up to this size; larger ones cost their connection.
+const DRAIN: u64 = 64 << 10;
+
+impl Edge {
+    /// Something happened on an allocation's connection.
+    pub(crate) fn allocation(&mut self, key: Key) {
+        let now = self.floor.now();
+        let Some(line) = self.floor.lines.get(key) else { return };
+        let connected = line.connected();
+        if connected == Some(true) {
+            line.flush();
+        }
+        line.read(http::ANSWER_HEAD.max(2 * NOTE_LINE));
+        // Reading may have been the end of a handshake, the good or the bad one.
+        let connected = line.connected();
+        let ended = line.ended || connected == Some(false);
+        let unsealed = line.unsealed.take();
+        let Role::Allocation { play, server, stage } = &mut line.role else { return };
+        let (play, server) = (*play, *server);
+        if let Stage::Asked = stage {
+            if let Some(e) = unsealed {
+                warn!(target: "server", server = self.floor.name(server), "set-up's connection: TLS: {e}");
+            }
+            if connected == Some(false) {
+                return self.allocation_ended(play, server, Outcome::Unreachable, &[]);
+            }
+            let Some(line) = self.floor.lines.get(key) else { return };
+            match http::answer(&line.input) {
+                Ok(None) if ended => return self.allocation_ended(play, server, Outcome::Broken, &[]),
+                Ok(None) => return,
+                Err(e) => {
+                    warn!(target: "server", server = self.floor.name(server), "set-up's answer: {e}");
+                    return self.allocation_ended(play, server, Outcome::Error, &[]);
+                }
+                Ok(Some((answer, used))) => {
+                    line.input.drain(..used);
+                    let load = figures(answer.load.as_deref());
+                    match (answer.status, answer.body) {
+                        (200, Body::Chunked(chunks)) => {
+                            line.role = Role::Allocation {
+                                play,
+                                server,
+                                stage: Stage::Noting { chunks, text: Vec::new() },
+                            };
+                            self.plays(now, play, server, &load);
+                        }
+                        (429, _) => return self.allocation_ended(play, server, Outcome::Full, &load),
+                        _ => return self.allocation_ended(play, server, Outcome::Error, &load),
+                    }
+                }
+            }
+        }
+        self.notes(key, play, server);
+    }
+
+    /// The first frame is at hand: whoever waits is answered.
+    pub(crate) fn plays(&mut self, now: f64, play: u64, server: u32, load: &[Figure]) {
+        let floor = &mut self.floor;
+        let asked = floor.book.get(play).map_or(now, |s| s.sent);
+        floor.limit.set_up(now - asked, floor.out);
+        floor.out = floor.out.saturating_sub(1);
+        if let Some(answer) = floor.manifest_of(play) {
+            for key in floor.book.plays(now, play, answer.clone()) {
+                floor.answer(key, &answer);
+            }
+            floor.session_clock(play);
+        }
+        self.desk.playing(now, play, &mut self.floor);
+        for figure in load {
+            match figure {
+                Figure::Streams(_) => self.desk.report(now, server, &[*figure], &mut self.floor),
+                _ => self.desk.note(now, play, server, *figure, &mut self.floor),
+            }
+        }
+    }
+
+    /// Reads the notes on a play that runs.
+    pub(crate) fn notes(&mut self, key: Key, play: u64, server: u32) {
+        loop {
+            let now = self.floor.now();
+            let Some(line) = self.floor.lines.get(key) else { return };
+            let ended = line.ended;
+            let Role::Allocation { stage: Stage::Noting { chunks, text }, .. } = &mut line.role else {
+                return;
+            };
+            let fed = chunks.feed(&mut line.input, text);
+            let mut found = Vec::new();
+            while let Some(end) = text.iter().position(|b| *b == b'\n') {
+                let note: Vec<u8> = text.drain(..=end).collect();
+                found.push(note);
+            }
+            let long = text.len() > NOTE_LINE;
+            for note in &found {
+                match note_figures(note) {
+                    Some(figures) => figures.into_iter().for_each(|figure| {
+                        self.desk.note(now, play, server, figure, &mut self.floor);
+                    }),
+                    None => debug!(target: "server", server = self.floor.name(server), "note not read"),
+                }
+            }
+            match fed {
+                Ok(true) => return self.allocation_ended(play, server, Outcome::Finished, &[]),
+                Err(_) => return self.allocation_ended(play, server, Outcome::Broken, &[]),
+                Ok(false) if long => return self.allocation_ended(play, server, Outcome::Broken, &[]),
+                Ok(false) if ended => return self.allocation_ended(play, server, Outcome::Broken, &[]),
+                Ok(false) => {}
+            }
+            let Some(line) = self.floor.lines.get(key) else { return };
+            if !line.read(2 * NOTE_LINE) && !line.ended {
+                return;
+            }
+        }
+    }
+
+    /// An allocation is out no more: its connection is closed before the desk may send the play again.
+    pub(crate) fn allocation_ended(&mut self, play: u64, server: u32, outcome: Outcome, load: &[Figure]) {
+        let now = self.floor.now();
+        let mut closed = false;
+        if let Some(session) = self.floor.book.get_mut(play) {
+            if let Some(line) = session.line.take() {
+                self.floor.lines.close(line);
+            }
+            closed = self.floor.book.get(play).is_some_and(|s| s.life() == Life::Playing);
+            if closed {
+                let lost = outcome != Outcome::Finished;
+                let cause = if lost { "server lost" } else { "server ended it" };
+                self.floor.over(play, cause, words(410, cause));
+            } else {
+                debug!(target: "play", play, server = self.floor.name(server), ?outcome, "allocation ended");
+            }
+        }
+        if self.floor.book.back(play) {
+            let floor = &mut self.floor;
+            // What is refused as too much, or not done in time, says that servers are behind.
+            if matches!(outcome, Outcome::Full | Outcome::TimedOut) {
+                floor.limit.lost(floor.out);
+            }
+            floor.out = floor.out.saturating_sub(1);
+            floor.session_clock(play);
+        }
+        self.desk.ended(now, play, server, outcome, closed, load, &mut self.floor);
+        self.floor.limit.decided(self.floor.now() - now);
+    }
+
+    /// A player has taken what it was sent: its server is read on.
+    pub(crate) fn relay_on(&mut self, player: Key) {
+        let floor = &mut self.floor;
+        let Some(line) = floor.lines.get(player) else { return };
+        let Role::Player(Doing::Fetching(_)) = line.role else { return };
+        if let Some(key) = floor.fetchers.get(&player).copied() {
+            self.errand(key);
+        }
+    }
+
+    /// Something happened on a pooled connection to a server.
+    pub(crate) fn errand(&mut self, key: Key) {
+        loop {
+            let floor = &mut self.floor;
+            let now = floor.now();
+            let relay = floor.rundown.limits.relay_bytes;
+            let Some(line) = floor.lines.get(key) else { return };
+            let connected = line.connected();
+            if connected == Some(true) {
+                line.flush();
+            }
+            let came = line.read(64 << 10);
+            let ended = line.ended || connected == Some(false);
+            let Role::Errands { server, errand, .. } = &mut line.role else { return };
+            let server = *server;
+            let Some(it) = errand else {
+                // An idle one that was closed, or says something nobody asked for.
+                if ended || !line.input.is_empty() {
+                    floor.drop_errands_line(key);
+                }
+                return;
+            };
+            if it.left.is_none() {
+                let (answer, used) = match http::answer(&line.input) {
+                    Ok(None) if ended => return floor.errand_failed(key, Fault::Broken),
+                    Ok(None) => return,
+                    Err(e) => {
+                        warn!(target: "server", server = floor.name(server), "answer not read: {e}");
+                        return floor.errand_failed(key, Fault::Malformed);
+                    }
+                    Ok(Some(it)) => it,
+                };
+                line.input.drain(..used);
+                let Body::Length(length) = answer.body else {
+                    return floor.errand_failed(key, Fault::Malformed);
+                };
+                let follows = it.reading.as_ref().map_or(length, |reading| reading.follows(length));
+                (it.left, it.last) = (Some(follows), !answer.keep_alive);
+                let (what, head) = (it.what, it.reading.as_mut().map(|reading| reading.head(&answer)));
+                floor.set_due(key, now + floor.rundown.limits.segment_ms);
+                let load = figures(answer.load.as_deref());
+                match (what, head) {
+                    (What::Segment { player, play, .. }, Some(Ok(Some(head)))) => {
+                        floor.segment_head(player, play, &head);
+                    }
+                    (_, Some(Err(fault))) => floor.errand_failed(key, fault),
+                    _ => {}
+                }
+                self.desk.report(now, server, &load, &mut self.floor);
+                continue;
+            }
+            let left = it.left.unwrap_or(0);
+            let what = it.what;
+            let n = (line.input.len() as u64).min(left) as usize;
+            let part: Vec<u8> = line.input.drain(..n).collect();
+            it.left = Some(left - n as u64);
+            let done = left == n as u64;
+            if let What::Segment { player, .. } = what {
+                let Some(line) = floor.lines.get(player) else {
+                    // The player left in the middle: the rest is of no use.
+                    return floor.drop_errands_line(key);
+                };
+                line.write(&part);
+                line.flush();
+                let full = line.pending() >= relay && !done;
+                if n > 0 {
+                    floor.set_due(key, now + floor.rundown.limits.segment_ms);
+                    floor.gave(key, n as u64);
+                }
+                if full {
+                    // Read on once the player has taken some; its own clock runs meanwhile.
+                    if let Some(line) = floor.lines.get(key) {
+                        line.due = f64::INFINITY;
+                    }
+                    return;
+                }
+            } else if left > DRAIN {
+                return floor.drop_errands_line(key);
+            }
+            if done {
+                return self.errand_done(key, server, what);
+            }
+            if ended {
+                return floor.errand_failed(key, Fault::Truncated);
+            }
+            if !came {
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn errand_done(&mut self, key: Key, server: u32, what: What) {
+        let floor = &mut self.floor;
+        let now = floor.now();
+        let mut last = false;
+        if let Some(line) = floor.lines.get(key) {
+            // More than its length: that answer was right as far as it went, but the connection is not to be kept.
+            last = line.ended || !line.input.is_empty();
+            if let Role::Errands { errand, fresh, .. } = &mut line.role {
+                last |= errand.as_ref().is_none_or(|e| e.last);
+                (*errand, *fresh) = (None, false);
+            }
+        }
+        if last {
+            floor.drop_errands_line(key);
+        } else {
+            floor.set_due(key, now + floor.rundown.limits.server_idle_ms);
+            floor.servers[server as usize].idle.push(key);
+        }
+        floor.next_errand(server);
+        if let What::Segment { player, play, number } = what {
+            floor.fetchers.remove(&player);
+            if let Some(session) = floor.book.get_mut(play) {
+                session.fetching = session.fetching.saturating_sub(1);
+                session.last_asked = now;
+                session.complete |= session.show.shape.segments() == Some(number);
+                floor.session_clock(play);
+            }
+            floor.answered(player);
+            self.player(player);
+        }
+    }
+}
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -393,7 +393,7 @@
 async fn a_thousand_requests_at_once_against_a_limit_of_two_hundred() {
     let mut day = patient();
     day["limits"] = json!({ "deciding": 200 });
-    day["admission"] = json!({ "least": 200, "most": 200 });
+    day["admission"] = json!({ "least": 200, "most": 200, "work_ms": 1e9, "behind_ms": 1e9 });
     let house = House::of(day).await;
     // Two seconds of work: by then far more than two hundred have asked, on any machine.
     house.ail(|a| a.slow = 400.0);
@@ -419,7 +419,9 @@
 async fn a_crowd_waits_for_its_turn_and_whoever_can_not_be_served_in_time_is_told() {
     let mut day = day();
     day["rules"]["allocations"] = json!(1);
-    day["admission"] = json!({ "least": 8, "most": 8, "queue": 100, "reserve_ms": 400 });
+    day["admission"] = json!({
+        "least": 8, "most": 8, "queue": 100, "reserve_ms": 400, "work_ms": 1e9, "behind_ms": 1e9,
+    });
     let house = House::of(day).await;
     // Eight set-ups of 100 ms at once, for a second and a bit: under a hundred of three hundred.
     house.ail(|a| a.slow = 20.0);
