--- a/crates/edge/tests/sealed.rs
+++ b/crates/edge/tests/sealed.rs
@@ -198,3 +198,30 @@
     assert_eq!(house.ask("s", FREE).await.status, 200);
     house.kept();
 }
+
+#[tokio::test]
+async fn players_must_show_a_certificate_where_the_folder_says_whose() {
+    let house = House::of(sealed()).await;
+    let (own, viewers) = (house.fronts.authority.as_ref().unwrap(), Authority::default());
+    let beside = house.folder().join("viewers.new");
+    std::fs::write(&beside, viewers.pem()).unwrap();
+    std::fs::rename(&beside, house.folder().join("players/viewers.pem")).unwrap();
+    house.says("certificates taken", 1).await;
+    let target = house.manifest("s", FREE);
+    for (paper, good) in [
+        (None, false),
+        (Some(own.paper("viewer", soon(1000))), false),
+        (Some(viewers.paper("viewer", SystemTime::now() - Duration::from_secs(5))), false),
+        (Some(viewers.paper("viewer", soon(1000))), true),
+    ] {
+        let connector = own.connector(paper.as_ref()).unwrap();
+        let asked = async {
+            let mut peer = Peer::call(house.at[0], Some((&connector, FRONT))).await?;
+            peer.write(get(&target).as_bytes()).await?;
+            peer.answer().await
+        };
+        let answer = asked.await.ok().flatten().map(|answer| answer.status);
+        assert_eq!(answer, good.then_some(200));
+        assert_eq!(asked_for(&house.log.taken()), usize::from(good), "strangers cost no allocation");
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/explore.rs
@@ -0,0 +1,257 @@
+//! Every order of events of a small registry, up to a depth, against the real view: two sources, compaction, breaks,
+//! repeats and reconnects.
+//!
+//! What must hold in every state that is reached: no server is offered for new plays that the registry has told gone or
+//! draining, by its newest word that arrived; none is lost for good, and the view converges: once the connection is
+//! back and all is delivered, it is what the registry is.
+
+use pulleystair_membership::{News, Server, Standing, Terms, View};
+use std::collections::{BTreeMap, VecDeque};
+
+const TERMS: Terms =
+    Terms { shrink: 0.9, hold: 1000.0, flaps: 1000, flap_span: 5000.0, old: 2000.0, forget: 1e9 };
+/// So many events in a row. Each more takes about eight times as long.
+const DEPTH: usize = 6;
+/// Registry and file.
+const REGISTRY: usize = 0;
+const FILE: usize = 1;
+
+type State = BTreeMap<usize, Standing>;
+
+fn server(n: usize, standing: Standing) -> Server {
+    Server {
+        name: format!("m{n}"),
+        address: format!("127.0.0.1:{}", 9000 + n).parse().unwrap(),
+        zone: "here".into(),
+        kind: "standard".into(),
+        cell: n,
+        weight: 1.0,
+        standing,
+        started: 0.0,
+    }
+}
+
+fn servers(state: &State) -> Vec<Server> {
+    state.iter().map(|(n, standing)| server(*n, *standing)).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Add(usize),
+    Drain(usize),
+    Remove(usize),
+    Deliver,
+    Repeat,
+    Break,
+    Compact,
+    Reconnect,
+    /// The other source is heard.
+    FileHeard,
+}
+
+const EVENTS: [Event; 10] = [
+    Event::Add(0),
+    Event::Drain(0),
+    Event::Remove(0),
+    Event::Remove(1),
+    Event::Deliver,
+    Event::Repeat,
+    Event::Break,
+    Event::Compact,
+    Event::Reconnect,
+    Event::FileHeard,
+];
+
+#[derive(Clone)]
+struct World {
+    now: f64,
+    /// The registry at each revision, and the one below which changes are compacted.
+    history: Vec<State>,
+    compacted: usize,
+    connected: bool,
+    /// Revisions on their way.
+    under_way: VecDeque<usize>,
+    /// The newest state that has arrived.
+    arrived: usize,
+    view: View,
+}
+
+impl World {
+    fn new() -> World {
+        // m2 is there always, m1 is in the file too.
+        let state: State = [0, 1, 2].map(|n| (n, Standing::Ready)).into();
+        let mut view = View::new(TERMS, 2);
+        view.tell(0.0, REGISTRY, News::Whole { revision: 0, age: 0.0, servers: servers(&state) });
+        let file = vec![server(1, Standing::Ready)];
+        view.tell(0.0, FILE, News::Whole { revision: 0, age: 0.0, servers: file });
+        World {
+            now: 0.0,
+            history: vec![state],
+            compacted: 0,
+            connected: true,
+            under_way: VecDeque::new(),
+            arrived: 0,
+            view,
+        }
+    }
+
+    fn tell(&mut self, news: News) {
+        self.view.tell(self.now, REGISTRY, news);
+    }
+
+    fn change(&mut self, revision: usize) -> News {
+        let (before, after) = (&self.history[revision - 1], &self.history[revision]);
+        let put = after.iter().filter(|(n, s)| before.get(n) != Some(s));
+        let gone = before.keys().filter(|n| !after.contains_key(n));
+        News::Change {
+            revision: revision as u64,
+            put: put.map(|(n, s)| server(*n, *s)).collect(),
+            gone: gone.map(|n| format!("m{n}")).collect(),
+        }
+    }
+
+    fn deliver(&mut self, revision: usize) {
+        let news = self.change(revision);
+        self.tell(news);
+        self.arrived = self.arrived.max(revision);
+    }
+
+    fn set(&mut self, change: impl Fn(&mut State)) -> bool {
+        let mut state = self.history[self.history.len() - 1].clone();
+        change(&mut state);
+        if state == self.history[self.history.len() - 1] {
+            return false;
+        }
+        self.history.push(state);
+        if self.connected {
+            self.under_way.push_back(self.history.len() - 1);
+        }
+        true
+    }
+
+    /// Does it; false where there is nothing to do.
+    fn does(&mut self, event: Event) -> bool {
+        self.now += 1.0;
+        match event {
+            Event::Add(n) => self.set(|state| {
+                state.insert(n, Standing::Ready);
+            }),
+            Event::Drain(n) => self.set(|state| {
+                state.entry(n).and_modify(|s| *s = Standing::Draining);
+            }),
+            Event::Remove(n) => self.set(|state| {
+                state.remove(&n);
+            }),
+            Event::Deliver => match self.under_way.pop_front() {
+                Some(revision) => {
+                    self.deliver(revision);
+                    true
+                }
+                None => false,
+            },
+            Event::Repeat if self.arrived > 0 && self.connected => {
+                let news = self.change(self.arrived);
+                self.tell(news);
+                true
+            }
+            Event::Break if self.connected => {
+                (self.connected, self.under_way) = (false, VecDeque::new());
+                self.tell(News::Lost);
+                true
+            }
+            Event::Compact if self.compacted + 1 < self.history.len() => {
+                self.compacted = self.history.len() - 1;
+                true
+            }
+            Event::Reconnect if !self.connected => {
+                self.reconnect();
+                true
+            }
+            Event::FileHeard => {
+                self.view.tell(self.now, FILE, News::Alive);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// As a client does: it goes on from what it has where that is not compacted, or reads all.
+    fn reconnect(&mut self) {
+        self.connected = true;
+        match self.view.revision(REGISTRY) {
+            Some(known) if known as usize >= self.compacted => {
+                self.under_way = (known as usize + 1..self.history.len()).collect();
+            }
+            _ => {
+                self.arrived = self.history.len() - 1;
+                let news = News::Whole {
+                    revision: self.arrived as u64,
+                    age: 0.0,
+                    servers: servers(&self.history[self.arrived]),
+                };
+                self.tell(news);
+            }
+        }
+    }
+
+    fn ready(&self) -> Vec<usize> {
+        let list = self.view.list(self.now).into_iter();
+        list.filter(|l| l.server.standing == Standing::Ready).map(|l| l.server.cell).collect()
+    }
+
+    fn holds(&self, path: &[Event]) {
+        let told = &self.history[self.arrived];
+        for n in self.ready() {
+            let by_file = n == 1 && told.get(&n).is_none();
+            assert!(
+                told.get(&n) == Some(&Standing::Ready) || by_file,
+                "m{n} is offered, and the registry told {:?}: {path:?}",
+                told.get(&n)
+            );
+        }
+    }
+
+    /// The connection comes back and all is delivered.
+    fn converges(mut self, path: &[Event]) {
+        if !self.connected {
+            self.reconnect();
+        }
+        while let Some(revision) = self.under_way.pop_front() {
+            self.deliver(revision);
+        }
+        self.now += TERMS.hold + 1.0;
+        self.tell(News::Alive);
+        self.view.look(self.now);
+        self.view.tell(self.now + 1.0, FILE, News::Alive);
+        let list: State =
+            self.view.list(self.now + 1.0).iter().map(|l| (l.server.cell, l.server.standing)).collect();
+        let mut registry = self.history[self.history.len() - 1].clone();
+        // The file is there and goes on listing this one.
+        registry.entry(1).or_insert(Standing::Ready);
+        assert_eq!(list, registry, "{path:?}");
+    }
+}
+
+fn explore(world: &World, path: &mut Vec<Event>, reached: &mut usize) {
+    *reached += 1;
+    world.holds(path);
+    world.clone().converges(path);
+    if path.len() == DEPTH {
+        return;
+    }
+    for event in EVENTS {
+        let mut next = world.clone();
+        if next.does(event) {
+            path.push(event);
+            explore(&next, path, reached);
+            path.pop();
+        }
+    }
+}
+
+#[test]
+fn every_order_of_events_keeps_what_must_hold() {
+    let mut reached = 0;
+    explore(&World::new(), &mut Vec::new(), &mut reached);
+    assert!(reached > 10_000, "{reached} states");
+}
