--- a/crates/dash/src/address.rs
+++ b/crates/dash/src/address.rs
@@ -13,6 +13,9 @@
 /// `media` by time; FIRST stands for the Period's first number.
 pub const MEDIA_BY_TIME: &str = "$RepresentationID$/FIRST-t$Time$.m4s";
 
+/// Where players ask for the time.
+pub const TIME: &str = "/v1/time";
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Address<'a> {
     Manifest {
@@ -65,7 +68,7 @@
 /// Reads the target of a request; none where a front serves nothing there.
 pub fn read(target: &str) -> Option<Address<'_>> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    if path == crate::mpd::TIME {
+    if path == TIME {
         return Some(Address::Time);
     }
     let mut parts = path.strip_prefix('/')?.split('/');
--- a/crates/dash/src/mpd.rs
+++ b/crates/dash/src/mpd.rs
@@ -8,7 +8,7 @@
 //! Segments are numbered from 1 through all Periods, as media servers know them; [`Presentation::at_time`] finds the
 //! number of one that is addressed by its time.
 
-use crate::address::{INITIALISATION, MEDIA, MEDIA_BY_TIME};
+use crate::address::{INITIALISATION, MEDIA, MEDIA_BY_TIME, TIME};
 use quick_xml::Reader;
 use quick_xml::events::{BytesDecl, BytesEnd, BytesStart, BytesText, Event};
 use quick_xml::writer::Writer;
@@ -218,9 +218,6 @@
     }
 }
 
-/// Where players ask for the time.
-pub const TIME: &str = "/v1/time";
-
 impl Period {
     fn write_to(&self, out: &mut Writer<Vec<u8>>, first: u64) -> std::io::Result<()> {
         let start = [("id", self.id.as_str()), ("start", &span(self.start_ms))];
