--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -72,6 +72,7 @@
     let set = Set::build(day, Program::edge(PathBuf::new()), out).await?;
     println!("{} servers run; list, keys and rundowns are in {}", set.day.fleet.servers, out.display());
     println!("a front: pulleystair-edge run {}", out.join("front-0.json").display());
+    let scheme = if set.day.tls { "https" } else { "http" };
     println!("then, with its address in place of FRONT, within the hour:");
     for (product, of) in set.day.products.iter().enumerate() {
         let Some(title) = set.titles.iter().find(|t| t.product == product) else { continue };
@@ -83,7 +84,7 @@
             top: set.day.ladder.len() - 1,
             exp: (set.log.now() / 1000.0) as u64 + 3600,
         });
-        println!("  http://FRONT{}", address::manifest(&of.name, &title.name, &entry));
+        println!("  {scheme}://FRONT{}", address::manifest(&of.name, &title.name, &entry));
     }
     Ok(tokio::signal::ctrl_c().await?)
 }
