--- /dev/null
+++ b/crates/registry/src/watch.rs
@@ -0,0 +1,322 @@
+//! Watches from a revision: all keys under a prefix are read once, then followed from the read's revision (etcd's JSON
+//! gateway: `/v3/kv/range`, `/v3/watch`; 64-bit numbers come as text, keys and values in base64). A key is the prefix and a
+//! server's name, its value a JSON object with `address`, `zone`, `kind`, `cell`, and where wanted `weight`, `started_ms` and
+//! `state` (`ready` or `draining`).
+
+use crate::{Fault, MOST_BYTES, MOST_SERVERS, Told};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use pulleystair_membership::{News, Server, Standing};
+use serde::{Deserialize, Deserializer};
+use serde_json::json;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug)]
+pub struct Watch {
+    prefix: String,
+    /// Up to which all is known; none until all was read.
+    revision: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Range {
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<Pair>,
+    #[serde(default)]
+    more: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Header {
+    #[serde(deserialize_with = "number")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Pair {
+    key: String,
+    #[serde(default)]
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    result: Option<Answer>,
+    error: Option<serde_json::Value>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Answer {
+    header: Header,
+    created: bool,
+    canceled: bool,
+    #[serde(deserialize_with = "number")]
+    compact_revision: u64,
+    cancel_reason: String,
+    events: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    /// Left out for a put.
+    #[serde(rename = "type", default)]
+    kind: String,
+    kv: Pair,
+}
+
+#[derive(Deserialize)]
+struct Value {
+    address: SocketAddr,
+    #[serde(default)]
+    state: State,
+    #[serde(flatten)]
+    told: Told,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    #[default]
+    Ready,
+    Draining,
+}
+
+/// A 64-bit number, as text or as it is.
+fn number<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Form {
+        Number(u64),
+        Text(String),
+    }
+    match Form::deserialize(from)? {
+        Form::Number(n) => Ok(n),
+        Form::Text(text) => text.parse().map_err(serde::de::Error::custom),
+    }
+}
+
+impl Watch {
+    pub fn new(prefix: &str) -> Watch {
+        Watch { prefix: prefix.into(), revision: None }
+    }
+
+    /// The revision from which a watch would go on; none where all is to be read first.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    fn keys(&self) -> (String, String) {
+        // The end of a prefix's keys: its last byte that can be raised, raised.
+        let mut end = self.prefix.clone().into_bytes();
+        while end.pop_if(|b| *b == 0xff).is_some() {}
+        match end.last_mut() {
+            Some(last) => *last += 1,
+            None => end.push(0),
+        }
+        (STANDARD.encode(&self.prefix), STANDARD.encode(end))
+    }
+
+    /// Target and body of the read of all.
+    pub fn range(&self) -> (&'static str, String) {
+        let (key, range_end) = self.keys();
+        ("/v3/kv/range", json!({ "key": key, "range_end": range_end }).to_string())
+    }
+
+    /// Target and body of the watch; its answer is a stream of lines for [`Watch::line`].
+    pub fn watch(&self) -> (&'static str, String) {
+        let (key, range_end) = self.keys();
+        let from = self.revision.unwrap_or(0) + 1;
+        let it = json!({
+            "key": key, "range_end": range_end, "start_revision": from.to_string(), "progress_notify": true,
+        });
+        ("/v3/watch", json!({ "create_request": it }).to_string())
+    }
+
+    /// All is to be read anew.
+    pub fn lost(&mut self) -> News {
+        self.revision = None;
+        News::Lost
+    }
+
+    /// Takes the answer to the read of all.
+    pub fn read(&mut self, status: u16, body: &[u8]) -> Result<News, Fault> {
+        if status != 200 {
+            return Err(Fault::Status(status));
+        }
+        if body.len() > MOST_BYTES {
+            return Err(Fault::TooLarge(body.len()));
+        }
+        let range: Range = serde_json::from_slice(body).map_err(|e| Fault::Json(e.to_string()))?;
+        if range.more || range.kvs.len() > MOST_SERVERS {
+            return Err(Fault::TooMany);
+        }
+        let servers: Result<Vec<Server>, Fault> = range.kvs.iter().map(|pair| self.server(pair)).collect();
+        let (revision, servers) = (range.header.revision, servers?);
+        self.revision = Some(revision);
+        Ok(News::Whole { revision, age: 0.0, servers })
+    }
+
+    /// Takes a line of the watch. A revision that is compacted, or a watch that was cancelled, is [`News::Lost`]: all is to
+    /// be read anew. A value that can't be read breaks the watch too, for what it would have changed is not known.
+    pub fn line(&mut self, line: &[u8]) -> Result<News, Fault> {
+        let read: Result<Line, _> = serde_json::from_slice(line);
+        let told = match read {
+            Ok(Line { result: Some(told), error: None }) => told,
+            Ok(Line { error, .. }) => {
+                self.revision = None;
+                let cause = error.map_or("no result".into(), |e| e.to_string());
+                return Err(Fault::Cancelled(cause.chars().take(200).collect()));
+            }
+            Err(e) => {
+                self.revision = None;
+                return Err(Fault::Json(e.to_string()));
+            }
+        };
+        if told.compact_revision > 0 {
+            return Ok(self.lost());
+        }
+        if told.canceled {
+            self.revision = None;
+            return Err(Fault::Cancelled(told.cancel_reason.chars().take(200).collect()));
+        }
+        let revision = told.header.revision;
+        if told.created || told.events.is_empty() {
+            // A note of progress: everything up to there has been told.
+            if let Some(known) = self.revision.filter(|_| !told.created) {
+                self.revision = Some(known.max(revision));
+            }
+            return Ok(News::Alive);
+        }
+        let (mut put, mut gone) = (Vec::new(), Vec::new());
+        for event in &told.events {
+            let taken = match event.kind.as_str() {
+                "DELETE" => self.name(&event.kv.key).map(|name| {
+                    put.retain(|s: &Server| s.name != name);
+                    gone.push(name);
+                }),
+                _ => self.server(&event.kv).map(|server| {
+                    gone.retain(|name| *name != server.name);
+                    put.retain(|s: &Server| s.name != server.name);
+                    put.push(server);
+                }),
+            };
+            if let Err(e) = taken {
+                self.revision = None;
+                return Err(e);
+            }
+        }
+        self.revision = self.revision.map(|known| known.max(revision));
+        Ok(News::Change { revision, put, gone })
+    }
+
+    fn name(&self, key: &str) -> Result<String, Fault> {
+        let bad = |cause: &str| Fault::Server(key.chars().take(64).collect(), cause.into());
+        let key = STANDARD.decode(key).map_err(|_| bad("key is no base64"))?;
+        let key = String::from_utf8(key).map_err(|_| bad("key is no text"))?;
+        let name = key.strip_prefix(&self.prefix).filter(|name| !name.is_empty() && name.len() <= 64);
+        name.map(str::to_string).ok_or_else(|| bad("key is not one that was asked for"))
+    }
+
+    fn server(&self, pair: &Pair) -> Result<Server, Fault> {
+        let name = self.name(&pair.key)?;
+        let bad = |cause: String| Fault::Server(name.clone(), cause);
+        let value = STANDARD.decode(&pair.value).map_err(|_| bad("value is no base64".into()))?;
+        let Value { address, state, told } =
+            serde_json::from_slice(&value).map_err(|e| bad(e.to_string()))?;
+        let standing = match state {
+            State::Ready => Standing::Ready,
+            State::Draining => Standing::Draining,
+        };
+        told.server(&name, address, standing)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const VALUE: &str =
+        r#"{"address":"10.0.0.1:9000","zone":"here","kind":"standard","cell":3,"state":"draining"}"#;
+
+    fn pair(name: &str, value: &str) -> serde_json::Value {
+        json!({ "key": STANDARD.encode(format!("/media/{name}")), "value": STANDARD.encode(value), "mod_revision": "5" })
+    }
+
+    fn started() -> Watch {
+        let mut it = Watch::new("/media/");
+        let body = json!({ "header": { "revision": "40" }, "kvs": [pair("m1", VALUE)], "count": "1" });
+        let news = it.read(200, body.to_string().as_bytes()).unwrap();
+        assert!(
+            matches!(news, News::Whole { revision: 40, ref servers, .. } if servers[0].standing == Standing::Draining)
+        );
+        it
+    }
+
+    fn line(it: &mut Watch, result: serde_json::Value) -> Result<News, Fault> {
+        it.line(json!({ "result": result }).to_string().as_bytes())
+    }
+
+    #[test]
+    fn all_is_read_and_followed_from_there() {
+        let mut it = started();
+        let (target, body) = it.watch();
+        let body: serde_json::Value = serde_json::from_str(&body).unwrap();
+        let request = &body["create_request"];
+        assert_eq!((target, request["start_revision"].as_str()), ("/v3/watch", Some("41")));
+        // The keys from the prefix on, up to the next that does not begin with it.
+        assert_eq!(request["key"].as_str(), Some(STANDARD.encode("/media/").as_str()));
+        assert_eq!(request["range_end"].as_str(), Some(STANDARD.encode("/media0").as_str()));
+        assert!(matches!(
+            line(&mut it, json!({ "created": true, "header": { "revision": "45" } })),
+            Ok(News::Alive)
+        ));
+        assert_eq!(it.revision(), Some(40), "that a watch was made tells nothing of what it will say");
+        let events = json!([{ "kv": pair("m2", VALUE) }, { "type": "DELETE", "kv": { "key": pair("m1", "")["key"] } }]);
+        let news = line(&mut it, json!({ "header": { "revision": "47" }, "events": events })).unwrap();
+        let News::Change { revision: 47, put, gone } = news else { panic!("{news:?}") };
+        assert_eq!((put[0].name.as_str(), gone), ("m2", vec!["m1".to_string()]));
+        assert!(matches!(line(&mut it, json!({ "header": { "revision": "60" } })), Ok(News::Alive)));
+        assert_eq!(it.revision(), Some(60), "a note of progress");
+    }
+
+    #[test]
+    fn a_server_removed_and_added_again_in_one_answer_is_there() {
+        let mut it = started();
+        let gone = json!({ "type": "DELETE", "kv": { "key": pair("m1", "")["key"] } });
+        let events = json!([gone, { "type": "PUT", "kv": pair("m1", VALUE) }]);
+        let news = line(&mut it, json!({ "header": { "revision": "50" }, "events": events })).unwrap();
+        assert!(matches!(news, News::Change { ref put, ref gone, .. } if put.len() == 1 && gone.is_empty()));
+    }
+
+    #[test]
+    fn a_compacted_revision_has_all_read_anew() {
+        let mut it = started();
+        let told = json!({ "canceled": true, "compact_revision": "44", "header": { "revision": "60" } });
+        assert!(matches!(line(&mut it, told), Ok(News::Lost)));
+        assert_eq!(it.revision(), None);
+    }
+
+    #[test_case(r#"{"result":{"canceled":true,"cancel_reason":"no more"}}"#, "watch ended: no more"; "cancelled")]
+    #[test_case(r#"{"error":{"message":"unavailable"}}"#, "unavailable"; "an error")]
+    #[test_case(r#"{"result":{"events":[{"kv":{"key":"!"}}]}}"#, "key is no base64"; "a key that is none")]
+    #[test_case(r#"{"result":{"events":[{"kv":{"key":"L290aGVyL20x"}}]}}"#, "not one that was asked for"; "another key")]
+    #[test_case(r#"{"result":{"events":[{"kv":{"key":"L21lZGlhL20x","value":"e30="}}]}}"#, "m1: missing field"; "an empty value")]
+    #[test_case(r#"{"result":{"events":[{"kv"#, "not read"; "half a line")]
+    #[test_case(r#"{"result":{"header":{"revision":"many"}}}"#, "not read"; "a revision that is none")]
+    fn what_can_not_be_read_breaks_the_watch(text: &str, says: &str) {
+        let mut it = started();
+        let fault = it.line(text.as_bytes()).unwrap_err().to_string();
+        assert!(fault.contains(says), "{fault}");
+        assert_eq!(it.revision(), None, "what it would have changed is not known");
+    }
+
+    #[test_case(503, "", Fault::Status(503); "another status")]
+    #[test_case(200, r#"{"header":{"revision":"1"},"more":true}"#, Fault::TooMany; "only a part")]
+    fn a_bad_read_tells_nothing(status: u16, body: &str, fault: Fault) {
+        assert_eq!(Watch::new("/media/").read(status, body.as_bytes()).unwrap_err(), fault);
+    }
+}
