--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -412,11 +413,16 @@
         if it.keys.is_some() && !(it.entry_keys.is_empty() && it.pass_keys.is_empty()) {
             return Err(refused(file, "keys", "entry_keys or pass_keys beside it", "either, not both"));
         }
-        it.rings().map_err(|(path, cause)| Fault::Value {
-            file: file.display().to_string(),
-            path: path.into(),
-            cause,
-        })?;
+        let fault =
+            |path: &str, cause| Fault::Value { file: file.display().to_string(), path: path.into(), cause };
+        it.rings().map_err(|(path, cause)| fault(path, cause))?;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+        if let Some(folder) = &it.tls.players {
+            pulleystair_tls::players(folder, now).map_err(|e| fault("tls.players", e.to_string()))?;
+        }
+        if let Some(folder) = &it.tls.servers {
+            pulleystair_tls::servers(folder, now).map_err(|e| fault("tls.servers", e.to_string()))?;
+        }
         Ok(it)
     }
 
