Replace files and make errands in one place each; tell one time of day

Read once more: six places wrote a file beside itself and renamed it, three spelled out a plain errand, three the life of a lasting certificate, and a manifest request looked its session up twice. Each is one piece now (boxes::files::put, Errand::new, Authority::lasting). /v1/time told the front's own clock in its body and the time of day in its Date; both are the time of day.

--- a/crates/boxes/src/lib.rs
+++ b/crates/boxes/src/lib.rs
@@ -13,6 +13,7 @@
 //! - A play whose connection breaks is freed after a short lease.
 
 pub mod content;
+pub mod files;
 pub mod log;
 pub mod papers;
 pub mod server;
--- a/crates/boxes/src/papers.rs
+++ b/crates/boxes/src/papers.rs
@@ -1,5 +1,6 @@
 //! Certificates of the laboratory: an authority of its own, made anew for each run, and what it vouches for.
 
+use crate::files::put;
 use rcgen::{
     BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa, KeyPair,
 };
@@ -70,6 +71,11 @@
         Paper { chain: leaf.pem() + &self.between.pem(), key: key.serialize_pem() }
     }
 
+    /// One that runs out long after any day of the laboratory, and before its authority.
+    pub fn lasting(&self, name: &str) -> Paper {
+        self.paper(name, SystemTime::now() + Duration::from_secs(86_000))
+    }
+
     fn roots(&self) -> Arc<RootCertStore> {
         let mut roots = RootCertStore::empty();
         roots.add(self.root.der().clone()).expect("a root is a root");
@@ -113,11 +119,7 @@
     /// Puts it into a folder as operators would: each file whole, one after the other.
     pub fn put(&self, folder: &Path) -> io::Result<()> {
         std::fs::create_dir_all(folder)?;
-        for (name, text) in [("chain.pem", &self.chain), ("key.pem", &self.key)] {
-            let beside = folder.join(format!("{name}.new"));
-            std::fs::write(&beside, text)?;
-            std::fs::rename(&beside, folder.join(name))?;
-        }
-        Ok(())
+        put(&folder.join("chain.pem"), &self.chain)?;
+        put(&folder.join("key.pem"), &self.key)
     }
 }
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -645,15 +645,12 @@
         };
         let target = self.allocation(play, n);
         let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
-        self.run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
+        self.run_errand(server, Errand::new(What::Word, request));
     }
 
     fn probe(&mut self, server: u32) {
         let request = self.request_to(server, "GET", "/load", "");
-        self.run_errand(
-            server,
-            Errand { what: What::Probe, request, reading: None, left: None, last: false },
-        );
+        self.run_errand(server, Errand::new(What::Probe, request));
     }
 
     fn declined(&mut self, play: u64, pause: f64) {
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -63,6 +63,13 @@
     pub last: bool,
 }
 
+impl Errand {
+    /// One that is not a segment's read.
+    pub fn new(what: What, request: Vec<u8>) -> Errand {
+        Errand { what, request, reading: None, left: None, last: false }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum What {
     Segment {
--- a/crates/edge/src/players.rs
+++ b/crates/edge/src/players.rs
@@ -131,7 +131,7 @@
             (_, None) => words(404, "nothing is served here"),
             ("OPTIONS", _) => words(204, ""),
             ("GET" | "HEAD", Some(Address::Time)) => {
-                words(200, &pulleystair_dash::mpd::date(self.floor.now() as u64))
+                words(200, &pulleystair_dash::mpd::date(self.floor.time_of_day() as u64))
             }
             ("GET" | "HEAD", Some(Address::Again { pass })) => match self.floor.playing(key, pass) {
                 Ok(play) => self.floor.asked_again(play),
@@ -183,11 +183,11 @@
         let there = number.and_then(|n| Some((n, *floor.titles.get(&(n, title.to_string()))?)));
         let Some((product, title)) = there else { return Some(words(404, "no such title of that product")) };
         let (show, listed) = floor.shows[title].clone();
-        if !listed && floor.book.by_id(&entry.jti).is_none() {
+        let known = floor.book.by_id(&entry.jti).is_some();
+        if !listed && !known {
             return Some(words(404, "that title is listed no more"));
         }
         let limit = now + rundown.products[product].time_limit_ms;
-        let known = floor.book.by_id(&entry.jti).is_some();
         let once = rundown.products[product].effect != Effect::ReadLike;
         if once && !known && floor.homes.len() == rundown.fronts {
             let home = home(&entry.jti, rundown.fronts);
@@ -332,7 +332,7 @@
         floor.servers[server as usize].budget.first(now, &terms);
         let what = What::Segment { player: key, play, number };
         let request = floor.request_to(server, reading.method(), &reading.target, "");
-        let errand = Errand { what, request, reading: Some(reading), left: None, last: false };
+        let errand = Errand { reading: Some(reading), ..Errand::new(what, request) };
         floor.run_errand(server, errand);
         None
     }
@@ -350,8 +350,7 @@
         }
         let target = floor.allocation(play, n);
         let request = floor.request_to(server, "DELETE", &target, "");
-        floor
-            .run_errand(server, Errand { what: What::Word, request, reading: None, left: None, last: false });
+        floor.run_errand(server, Errand::new(What::Word, request));
         floor.over(play, cause, words(410, "this play has ended"));
         self.desk.ended(now, play, server, Outcome::Finished, true, &[], &mut self.floor);
     }
--- a/crates/edge/tests/dash.rs
+++ b/crates/edge/tests/dash.rs
@@ -5,6 +5,7 @@
 
 use house::{House, base, day, get, text};
 use pulleystair_boxes::content;
+use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Message;
 use pulleystair_witness::{Seen, What};
 use serde_json::{Value, json};
@@ -21,9 +22,7 @@
         log.matches("list taken").count() + log.matches("list not taken").count()
     };
     let before = looked();
-    let beside = house.folder().join("list.new");
-    std::fs::write(&beside, list.to_string()).unwrap();
-    std::fs::rename(beside, file).unwrap();
+    put(&file, list.to_string()).unwrap();
     house.until_true("the front has looked at the list", || looked() > before).await;
 }
 
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -5,6 +5,7 @@
 
 use house::{House, base, day, get, text};
 use pulleystair_boxes::content;
+use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Peer;
 use pulleystair_dash::token::{Entry, Ring};
 use pulleystair_lab::fronts::portal;
@@ -521,9 +522,7 @@
         numbers.iter().map(one).collect()
     };
     let it = json!({ "entry": keys("portal", entry), "pass": keys("pass", pass), "revoked": revoked });
-    let beside = house.folder().join("keys.new");
-    std::fs::write(&beside, it.to_string()).expect("keys are written");
-    std::fs::rename(beside, house.folder().join("keys.json")).expect("keys are replaced");
+    put(&house.folder().join("keys.json"), it.to_string()).expect("keys are replaced");
     house.until_true("the front has looked at the keys", || looked() > before).await;
 }
 
--- a/crates/edge/tests/sealed.rs
+++ b/crates/edge/tests/sealed.rs
@@ -4,6 +4,7 @@
 mod house;
 
 use house::{House, base, day, get, text};
+use pulleystair_boxes::files::put;
 use pulleystair_boxes::papers::Authority;
 use pulleystair_boxes::wire::{Peer, Wire};
 use pulleystair_lab::fronts::FRONT;
@@ -203,9 +204,7 @@
 async fn players_must_show_a_certificate_where_the_folder_says_whose() {
     let house = House::of(sealed()).await;
     let (own, viewers) = (house.fronts.authority.as_ref().unwrap(), Authority::default());
-    let beside = house.folder().join("viewers.new");
-    std::fs::write(&beside, viewers.pem()).unwrap();
-    std::fs::rename(&beside, house.folder().join("players/viewers.pem")).unwrap();
+    put(&house.folder().join("players/viewers.pem"), viewers.pem()).unwrap();
     house.says("certificates taken", 1).await;
     let target = house.manifest("s", FREE);
     for (paper, good) in [
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -2,6 +2,7 @@
 
 use crate::script::Day;
 use anyhow::{Context, Result, bail, ensure};
+use pulleystair_boxes::files::put;
 use pulleystair_boxes::log::Log;
 use pulleystair_boxes::papers::{Authority, Paper};
 use pulleystair_dash::token::{Entry, Ring};
@@ -56,8 +57,6 @@
     pub authority: Option<Arc<Authority>>,
 }
 
-/// A certificate of the laboratory that runs out long after any day.
-const LONG: Duration = Duration::from_secs(86_000);
 /// The name that fronts' certificates bear.
 pub const FRONT: &str = "front";
 
@@ -74,13 +73,6 @@
     format!("{of} tokens of this laboratory, not a secret {n}").into_bytes()
 }
 
-/// Writes a file beside itself and puts it in place whole.
-fn put(file: &Path, bytes: &[u8]) -> Result<()> {
-    let beside = file.with_extension("new");
-    std::fs::write(&beside, bytes)?;
-    Ok(std::fs::rename(&beside, file)?)
-}
-
 /// The rundown of one front of a day.
 pub fn rundown(day: &Day, front: usize) -> serde_json::Value {
     let fleet = &day.fleet;
@@ -174,12 +166,12 @@
         for n in numbers {
             for (of, kid) in [("entry", "portal"), ("pass", "pass")] {
                 let file = format!("{of}-{n}.key");
-                put(&self.folder.join(&file), &secret(of, *n))?;
+                put(&self.folder.join(&file), secret(of, *n))?;
                 let list = keys[of].as_array_mut().context("it was made a list")?;
                 list.push(json!({ "kid": format!("{kid}-{n}"), "file": file }));
             }
         }
-        put(&self.folder.join("keys.json"), keys.to_string().as_bytes())
+        Ok(put(&self.folder.join("keys.json"), keys.to_string())?)
     }
 
     /// Replaces all token keys as an operator would: the new ones beside the old, then the portal signs by the
@@ -194,10 +186,9 @@
 
     /// Replaces the fronts' certificates, where they have any.
     pub fn renew_papers(&self) -> Result<()> {
+        let Some(authority) = &self.authority else { return Ok(()) };
         for side in ["players", "servers"] {
-            if let Some(paper) = self.paper(SystemTime::now() + LONG) {
-                paper.put(&self.folder.join(side))?;
-            }
+            authority.lasting(FRONT).put(&self.folder.join(side))?;
         }
         Ok(())
     }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -18,7 +18,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_rustls::TlsConnector;
 
@@ -103,7 +103,7 @@
     let titles = titles.to_vec();
     let seals = match (fronts.connector()?, &fronts.authority) {
         (Some(players), Some(authority)) => {
-            let paper = authority.paper(FRONT, SystemTime::now() + Duration::from_secs(86_000));
+            let paper = authority.lasting(FRONT);
             Some((players, authority.connector(Some(&paper))?))
         }
         _ => None,
--- a/crates/lab/src/set.rs
+++ b/crates/lab/src/set.rs
@@ -36,9 +36,8 @@
                 .await?;
         let fronts = Fronts::new(&day, program, folder, log.clone())?;
         if let Some(authority) = &fronts.authority {
-            let until = std::time::SystemTime::now() + std::time::Duration::from_secs(86_000);
             for server in 0..day.fleet.servers {
-                let paper = authority.paper(&format!("m{server}"), until);
+                let paper = authority.lasting(&format!("m{server}"));
                 boxes.seal(server, Some(authority.acceptor(&paper, Some(authority))?));
             }
         }
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -3,6 +3,7 @@
 use crate::fronts::Fronts;
 use crate::script::{Day, Kind, Trouble};
 use anyhow::Result;
+use pulleystair_boxes::files::put;
 use pulleystair_boxes::log::Log;
 use pulleystair_boxes::server::Boxes;
 use pulleystair_boxes::world::Ails;
@@ -125,10 +126,7 @@
             })
             .collect();
         let text = serde_json::to_string(&json!({ "servers": servers, "titles": titles }))?;
-        let beside = self.file.with_extension("new");
-        std::fs::write(&beside, text)?;
-        std::fs::rename(&beside, &self.file)?;
-        Ok(())
+        Ok(put(&self.file, text)?)
     }
 
     /// Lists a server anew, for all fronts at once.
