Forget old changes of links and old plays taken, so that a front's memory stays bounded

Seen: by reading, then by an allocator that counts (crates/desk/tests/memory.rs, seen to fail before): 935 kB more after 20,000 plays of a healthy fleet, 47 bytes a play for as long as the front runs. Ruled out: the desk's slots and indices (they are reused), and the seats (one entry a title). Lines at fault: Front::take pushed every play into `taken`, which only a further allocation pruned, and a healthy fleet has none; Pipe::change pushed into `since`, which only a measurement pruned, and an uplink that no server reports is never measured. Change: plays taken are forgotten as they come; changes older than any measurement still to come are added into one. The sum is made in the same order, so every figure stays the same to the bit, and so does every decision.

--- /dev/null
+++ b/crates/desk/tests/memory.rs
@@ -0,0 +1,110 @@
+//! What a front keeps in mind is bounded by what is under way, not by how long it has run: counted by an allocator
+//! around everything that the desk and the decisions hold.
+
+use pulleystair::{CallSheet, Figure, Listing, Standing, Value};
+use pulleystair_desk::{Desk, Hands, Wish};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicIsize, Ordering};
+
+struct Counting;
+
+static HELD: AtomicIsize = AtomicIsize::new(0);
+
+// SAFETY: all is left to the system's allocator; only a count is kept beside it.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, it: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.dealloc(it, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Remembers the latest play's server.
+#[derive(Default)]
+struct Host {
+    sent: Option<u32>,
+}
+
+impl Hands for Host {
+    fn send(&mut self, _play: u64, server: u32, _rung: usize, _time_out: f64) {
+        self.sent = Some(server);
+    }
+    fn withdraw(&mut self, _play: u64) {}
+    fn step(&mut self, _play: u64, _rung: usize) {}
+    fn probe(&mut self, _server: u32) {}
+    fn declined(&mut self, _play: u64, _pause: f64) {}
+    fn failed(&mut self, _play: u64) {}
+    fn wake(&mut self, _mark: u32, _wait: f64) {}
+    fn follow(&mut self) {}
+}
+
+/// A budget of allocations, four servers, and an uplink that none of them ever reports.
+fn sheet() -> CallSheet {
+    let numbers = [
+        ("balancers", 2.0),
+        ("products.0.importance", 1.0),
+        ("products.0.first_frame_target", 1000.0),
+        ("extra.ladder_kb.0", 10.0),
+        ("extra.rung_worth.0", 1.0),
+        ("extra.link_unit_kb", 100_000.0),
+        ("extra.rack_link_kb", 200_000.0),
+        ("extra.cabinets", 2.0),
+        ("extra.places", 4.0),
+        ("extra.fleet_kb", 400_000.0),
+        ("extra.seen_after", 1000.0),
+        ("ceilings.attempts_cap", 3.0),
+        ("rules.cold", 5_000.0),
+        ("rules.overload_factor", 2.0),
+        ("rules.budget_share", 0.2),
+        ("rules.budget_span", 5_000.0),
+        ("rules.free_resends", 2.0),
+    ];
+    numbers.iter().map(|(name, value)| ((*name).to_string(), Value::Number(*value))).collect()
+}
+
+/// Plays that come, run for a second and end well, so many of them.
+fn run(desk: &mut Desk, from: u64, plays: u64, reports: bool) {
+    let mut host = Host::default();
+    for id in from..from + plays {
+        let now = 10_000.0 + id as f64 * 20.0;
+        let wish = Wish {
+            product: 0,
+            title: id % 50,
+            first_cell: 0,
+            holders: 4,
+            top: 0,
+            came: now,
+            limit: now + 2000.0,
+        };
+        desk.take(now, id, &wish, &mut host);
+        let server = host.sent.take().expect("a healthy fleet takes it");
+        desk.playing(now + 1.0, id, &mut host);
+        if reports {
+            desk.report(now + 1.0, server, &[Figure::Link(0.1)], &mut host);
+        }
+        desk.ended(now + 2.0, id, server, pulleystair::Outcome::Finished, true, &[], &mut host);
+    }
+}
+
+#[test]
+fn a_front_that_runs_for_long_holds_no_more_than_one_that_has_warmed_up() {
+    for reports in [true, false] {
+        let mut desk = Desk::new(sheet(), 1);
+        let line =
+            |cell: usize| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+        let lines: Vec<(u32, Listing)> = (0..4).map(|s| (s as u32, line(s))).collect();
+        desk.list(0.0, true, false, &lines);
+        run(&mut desk, 0, 2_000, reports);
+        let warmed_up = HELD.load(Ordering::Relaxed);
+        run(&mut desk, 2_000, 20_000, reports);
+        let grown = HELD.load(Ordering::Relaxed) - warmed_up;
+        assert!(grown < 8_192, "{grown} bytes more after 20,000 plays; servers report: {reports}");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,7 +87,12 @@
         }
     }
 
-    fn change(&mut self, now: f64, kb: f64) {
+    /// What changed before `settled` counts as one change: no measurement still to come is older.
+    fn change(&mut self, now: f64, kb: f64, settled: f64) {
+        while self.since.len() > 1 && self.since[1].0 <= settled {
+            let oldest = self.since.pop_front().map_or(0.0, |c| c.1);
+            self.since[0].1 += oldest;
+        }
         self.since.push_back((now, kb));
         self.before += kb;
     }
@@ -321,6 +326,7 @@
     pub fn take(&mut self, now: f64, play: &mut Play) {
         if self.sheet.contains_key("rules.budget_share") {
             self.taken.push_back(now);
+            self.forget_taken(now);
         }
         play.ask_at = now;
         play.rung = self.products[play.product].floor;
@@ -590,10 +596,7 @@
                 "idempotency_key" => play.ran_at.is_none_or(|(_, sent)| now - sent < product.repeat_window),
                 _ => true,
             };
-        let span = self.rule("rules.budget_span", 0.0);
-        while self.taken.front().is_some_and(|t| *t <= now - span) {
-            self.taken.pop_front();
-        }
+        let span = self.forget_taken(now);
         while self.further.front().is_some_and(|t| *t < now - span) {
             self.further.pop_front();
         }
@@ -606,6 +609,15 @@
         repeatable && play.allocations < cap && self.further.len() as f64 + 1.0 <= budget
     }
 
+    /// Plays taken longer ago than the budget's span no longer count in it.
+    fn forget_taken(&mut self, now: f64) -> f64 {
+        let span = self.rule("rules.budget_span", 0.0);
+        while self.taken.front().is_some_and(|t| *t <= now - span) {
+            self.taken.pop_front();
+        }
+        span
+    }
+
     fn never(&self, play: &mut Play) -> Place {
         play.over = true;
         let product = &self.products[play.product];
@@ -706,9 +718,10 @@
     }
 
     fn load(&mut self, now: f64, s: usize, kb: f64) {
-        self.servers[s].link.change(now, kb);
+        let settled = now - self.rule("extra.seen_after", 1000.0);
+        self.servers[s].link.change(now, kb, settled);
         let rack = self.servers[s].rack;
-        self.racks[rack].change(now, kb);
+        self.racks[rack].change(now, kb, settled);
     }
 
     /// The shorter of a server's link and its rack's uplink by this measure, and whether that is the uplink.
