Take a server that read the set-up and reset for reached, not for unreachable

Seen: by reading, then in a test on a real socket (lines.rs, seen to fail before: left Some(false), right Some(true)). Ruled out: the same reset after the loop has looked once, which was right (failures.rs, a_reset_after_the_set_up_ran). Lines at fault: Line::connected asked the socket for its error although flush had already written the request on it. Change: a socket that took bytes counts as connected, whatever becomes of it. Before: Unreachable; after: Broken. Module, desk and adapter untouched.

--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -78,7 +78,11 @@
         number: u64,
     },
     Probe,
-    /// A step of rung or the end of a play: nothing hangs on the answer.
+    /// A step of rung: one of a play is under way at a time, so that none overtakes another.
+    Step {
+        play: u64,
+    },
+    /// The end of a play: nothing hangs on the answer.
     Word,
 }
 
@@ -161,7 +165,8 @@
             };
             match wrote {
                 Ok((0, _)) => break,
-                Ok((_, taken)) => (self.sent, went) = (self.sent + taken, true),
+                // What the socket has taken may be read and acted on: whatever becomes of the connection, it was there.
+                Ok((_, taken)) => (self.sent, went, self.connected) = (self.sent + taken, true, true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // Not connected yet, or full.
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
@@ -308,6 +313,11 @@
         (*generation == (key >> 32) as u32).then_some(line)
     }
 
+    /// Whether a player has still to be written what it was answered.
+    pub fn answers_wait(&self) -> bool {
+        self.lines.iter().any(|(_, (_, line))| matches!(line.role, Role::Player(_)) && line.pending() > 0)
+    }
+
     pub fn close(&mut self, key: Key) -> Option<Role> {
         self.get(key)?;
         let (_, line) = self.lines.remove(key as u32 as usize);
@@ -315,3 +325,33 @@
         Some(line.role)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use calloop::EventLoop;
+    use std::net::TcpListener;
+
+    /// The loop was busy: the server read the set-up, ran it and reset the connection before this front looked. Taken
+    /// for a server that was never reached, a paid set-up would be sent a second time.
+    #[test]
+    fn a_server_that_read_the_request_and_reset_was_reached() {
+        let event_loop = EventLoop::<'static, Edge>::try_new().expect("a loop");
+        let mut lines = Lines::new(event_loop.handle());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
+        let role = Role::Allocation { play: 1, server: 0, stage: Stage::Asked };
+        let key = lines.open(stream, None, role).expect("a line");
+        let line = lines.get(key).expect("it is open");
+        line.write(b"POST");
+        assert!(line.flush());
+        let (mut server, _) = listener.accept().expect("the server takes it");
+        server.read_exact(&mut [0; 4]).expect("and reads it");
+        socket2::SockRef::from(&server).set_linger(Some(std::time::Duration::ZERO)).expect("to be reset");
+        drop(server);
+        while line.stream.peer_addr().is_ok() {
+            std::thread::yield_now();
+        }
+        assert_eq!(line.connected(), Some(true));
+    }
+}
