Keep steps in order, let waiting reads go on, and read again what could not be read

- A step of rung decided while the play's set-up was out was never told to its server, which ran it on the old rung (Floor::step returned unless the play ran).
It is told once it plays.
- Two steps went on two pooled connections, and the server could carry out the later one first: rungs [0, 1] where [1, 0] was decided.
One step of a play is under way at a time, and the next goes when it is answered.
- A read that was taken up again at a server that can't be dialled gave its turn to nobody: reads that waited for the connection were never answered, and a stopping front never ended (Floor::errand_failed).
Ruled out: a refused connection, which on loopback shows later and was handled.
- A read whose player left while it waited was sent to the server all the same, and its entry among the fetchers stayed for good.
Keys whose secrets come after the file that names them were refused for good, too.
What could not be read is read at the next look; each cause is told once.

Also: keys are looked at before they are read at start, as the list and certificates are; a segment goes to the server that the decisions chose or nowhere, never to server 0; a front told to stop writes out what it answered. The stand-ins watch a server's life from before they see it up, so no connection outlives the process it was made to.

--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -169,6 +169,8 @@
 async fn listen(shared: Arc<Shared>, server: usize, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
+        // Watched from before it is seen to be up: a process that ends in between takes this connection with it.
+        let mut life = shared.lives[server].subscribe();
         if shared.world().servers[server].ails.down {
             // Nothing listens there: the nearest to a refused connection while the port is kept.
             Peer::new(stream).reset();
@@ -176,8 +178,6 @@
         }
         let shared = shared.clone();
         tokio::spawn(async move {
-            let mut life = shared.lives[server].subscribe();
-            life.mark_unchanged();
             tokio::select! {
                 _ = life.changed() => {}
                 _ = serve(&shared, server, stream) => {}
@@ -207,6 +207,14 @@
             }
             ("PATCH", ["plays", name]) => {
                 let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+                let late = {
+                    let mut world = shared.world();
+                    world.servers[server].steps_read += 1;
+                    world.servers[server].ails.late_steps_ms
+                };
+                if late > 0.0 {
+                    sleep(Duration::from_secs_f64(late / 1000.0)).await;
+                }
                 let status = step(shared, server, name, body["rung"].as_u64());
                 peer.write(&shared.answer(server, status)).await?;
             }
--- a/crates/boxes/src/world.rs
+++ b/crates/boxes/src/world.rs
@@ -63,6 +63,8 @@
     pub stall: f64,
     pub over_long: f64,
     pub no_ranges: f64,
+    /// Steps of rung are carried out so much after they were read, ms.
+    pub late_steps_ms: f64,
     /// Which edition of its titles it holds: the bytes are the same here, their tags are not.
     pub edition: u32,
     /// Work takes so many times as long.
@@ -89,6 +91,7 @@
             stall: 0.0,
             over_long: 0.0,
             no_ranges: 0.0,
+            late_steps_ms: 0.0,
             edition: 0,
             slow: 1.0,
             link: 1.0,
@@ -126,6 +129,8 @@
     pub ails: Ails,
     pub plays: BTreeMap<String, Play>,
     pub started: Option<f64>,
+    /// Steps of rung that were asked for, carried out or not.
+    pub steps_read: usize,
     /// Counts the starts: what ran before the present one is gone.
     pub life: u64,
     sent: VecDeque<f64>,
@@ -144,6 +149,7 @@
             ails: Ails::default(),
             plays: BTreeMap::new(),
             started: None,
+            steps_read: 0,
             life: 0,
             sent: VecDeque::new(),
             history: VecDeque::new(),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -110,12 +110,13 @@
             waiters: limits.waiters,
             remember: limits.remember_ms,
         };
-        let (entry_keys, pass_keys, revoked) =
-            rundown.rings().map_err(|(path, cause)| anyhow::anyhow!("{path}: {cause}"))?;
+        // Looked at before they are read: what is replaced meanwhile shows at the next look.
         let mut keys = rundown.keys.clone().map(Watched::new);
         keys.iter_mut().for_each(|keys| {
             keys.replaced();
         });
+        let (entry_keys, pass_keys, revoked) =
+            rundown.rings().map_err(|(path, cause)| anyhow::anyhow!("{path}: {cause}"))?;
         let mut watched = Watched::new(rundown.list.clone());
         watched.replaced();
         let seals = Seals::read(&rundown.tls, since.as_secs())?;
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -137,7 +137,7 @@
 
     pub(crate) fn done(&self) -> bool {
         let idle = self.book.deciding() + self.book.playing() == 0 && self.errands_out == 0;
-        self.halted || self.stopping && idle
+        self.halted || self.stopping && idle && !self.lines.answers_wait()
     }
 
     pub(crate) fn name(&self, server: u32) -> &str {
@@ -434,16 +434,19 @@
         self.on_new_line(server, errand);
     }
 
-    pub(crate) fn on_new_line(&mut self, server: u32, errand: Errand) {
+    /// False where it can't be had; the errand is lost then.
+    pub(crate) fn on_new_line(&mut self, server: u32, errand: Errand) -> bool {
         match self.dial(server, Role::Errands { server, errand: None, fresh: true }) {
             Ok(key) => {
                 self.servers[server as usize].lines += 1;
                 self.begin(key, errand);
+                true
             }
             Err(e) => {
                 debug!(target: "server", server = self.name(server), "not reached: {e}");
                 self.errands_out -= 1;
                 self.errand_lost(errand, 502, "the media server can't be reached");
+                false
             }
         }
     }
@@ -467,10 +470,21 @@
         self.set_due(key, due);
     }
 
+    /// An errand is over: the next that waits has its turn.
     pub(crate) fn next_errand(&mut self, server: u32) {
         self.errands_out = self.errands_out.saturating_sub(1);
+        self.take_turns(server);
+    }
+
+    /// Has those that wait for a connection run until one of them has one. A read whose player is gone is not begun.
+    fn take_turns(&mut self, server: u32) {
         while let Some(errand) = self.servers[server as usize].queue.pop_front() {
             self.errands_out -= 1;
+            if let What::Segment { player, .. } = errand.what
+                && self.lines.get(player).is_none()
+            {
+                continue;
+            }
             self.run_errand(server, errand);
             if self.servers[server as usize].lines > 0 {
                 return;
@@ -484,8 +498,9 @@
             let at = &mut self.servers[server as usize];
             at.lines -= 1;
             at.idle.retain(|k| *k != key);
-            if errand.is_some() {
+            if let Some(errand) = errand {
                 self.next_errand(server);
+                self.rung_was_told(errand.what);
             }
         }
     }
@@ -514,8 +529,11 @@
                 if let Some(reading) = errand.reading.as_mut().filter(|_| !stale) {
                     reading.tries += 1;
                 }
-                // It goes on as the same errand, so nothing else takes its turn.
-                return self.on_new_line(server, errand);
+                // It goes on as the same errand, so nothing else takes its turn, unless it has come to its end.
+                if !self.on_new_line(server, errand) {
+                    self.take_turns(server);
+                }
+                return;
             }
             Next::Answer(status) => self.errand_lost(errand, status, "the media server did not answer well"),
             Next::Cut => {
@@ -544,6 +562,7 @@
 
     /// The errand is given up; a player that waits for it is told, or cut off where a part had gone out.
     pub(crate) fn errand_lost(&mut self, errand: Errand, status: u16, why: &str) {
+        self.rung_was_told(errand.what);
         let What::Segment { player, play, .. } = errand.what else { return };
         if errand.reading.is_some_and(|r| r.so_far().given.is_some()) {
             return self.player_cut(player);
@@ -569,6 +588,32 @@
         self.answer(player, answer);
     }
 
+    /// Tells the server of a play the rung that it now has. One whose set-up is still out is told once it plays: a
+    /// word that overtakes the set-up would find no play there.
+    pub(crate) fn tell_rung(&mut self, play: u64) {
+        let Some(session) = self.book.get_mut(play) else { return };
+        let (Life::Playing, Some(server), n) = (session.life(), session.server, session.allocations()) else {
+            return;
+        };
+        let rung = session.rung;
+        if session.told == rung || session.telling {
+            return;
+        }
+        (session.told, session.telling) = (rung, true);
+        let target = self.allocation(play, n);
+        let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
+        self.run_errand(server, Errand::new(What::Step { play }, request));
+    }
+
+    /// The word of a step is under way no more, heard or not: a step that came meanwhile is told now.
+    pub(crate) fn rung_was_told(&mut self, what: What) {
+        let What::Step { play } = what else { return };
+        if let Some(session) = self.book.get_mut(play) {
+            session.telling = false;
+            self.tell_rung(play);
+        }
+    }
+
     pub(crate) fn segment_head(&mut self, player: Key, play: u64, of: &Head) {
         let Some(session) = self.book.get(play) else { return };
         let product = &self.rundown.products[session.product];
@@ -640,12 +685,7 @@
     fn step(&mut self, play: u64, rung: usize) {
         let Some(session) = self.book.get_mut(play) else { return };
         session.rung = rung;
-        let (Life::Playing, Some(server), n) = (session.life(), session.server, session.allocations()) else {
-            return;
-        };
-        let target = self.allocation(play, n);
-        let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
-        self.run_errand(server, Errand::new(What::Word, request));
+        self.tell_rung(play);
     }
 
     fn probe(&mut self, server: u32) {
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -265,23 +265,30 @@
     /// The first one must be there: without it the others are not looked at.
     files: Vec<PathBuf>,
     seen: Vec<Option<(u64, u64, i64, i64)>>,
+    /// Why what is there was not taken when last read, and whether it is to be read again all the same.
+    refused: Option<(String, bool)>,
 }
 
 impl Watched {
     pub fn new(file: PathBuf) -> Watched {
-        Watched { files: vec![file], seen: Vec::new() }
+        Watched { files: vec![file], seen: Vec::new(), refused: None }
     }
 
     /// The files of a folder by their names.
     pub fn folder(folder: &Path, names: &[&str]) -> Watched {
-        Watched { files: names.iter().map(|name| folder.join(name)).collect(), seen: Vec::new() }
+        Watched {
+            files: names.iter().map(|name| folder.join(name)).collect(),
+            seen: Vec::new(),
+            refused: None,
+        }
     }
 
     pub fn file(&self) -> &Path {
         &self.files[0]
     }
 
-    /// Whether a file is another than when last looked at. A first file that is away is not another one.
+    /// Whether a file is another than when last looked at, or is to be read again. A first file that is away is not
+    /// another one. To be asked before the files are read, so that what is replaced meanwhile shows the next time.
     pub fn replaced(&mut self) -> bool {
         let look = |file: &PathBuf| {
             let meta = std::fs::metadata(file).ok()?;
@@ -291,9 +298,24 @@
         if now[0].is_none() {
             return false;
         }
-        let replaced = now != self.seen;
-        self.seen = now;
-        replaced
+        if now != self.seen {
+            (self.seen, self.refused) = (now, None);
+            return true;
+        }
+        self.refused.as_ref().is_some_and(|(_, again)| *again)
+    }
+
+    /// What was read is not taken. With `again` it is read anew at each look, whether replaced or not: what was at
+    /// fault may lie outside these files. True where this cause is to be told, which it is once.
+    pub fn refused(&mut self, cause: &impl ToString, again: bool) -> bool {
+        let cause = cause.to_string();
+        let told = self.refused.as_ref().is_some_and(|(known, _)| *known == cause);
+        self.refused = Some((cause, again));
+        !told
+    }
+
+    pub fn taken(&mut self) {
+        self.refused = None;
     }
 
     /// Looks at them anew the next time, whether they were replaced or not.
--- a/crates/edge/src/players.rs
+++ b/crates/edge/src/players.rs
@@ -318,8 +318,10 @@
         if session.fetching >= floor.rundown.limits.fetches {
             return Some(Final { retry_after: Some(1), ..words(429, "too many reads of this play at once") });
         }
+        // Where the decisions sent it, or nowhere: no other server stands in.
+        let Some(server) = session.server else { return Some(words(410, "this session does not play here")) };
         session.fetching += 1;
-        let (rung, server) = (rung.min(session.rung), session.server.unwrap_or(0));
+        let rung = rung.min(session.rung);
         let n = session.allocations();
         let target = format!("{}/{rung}/{number}", floor.allocation(play, n));
         if let Some(line) = floor.lines.get(key) {
--- a/crates/edge/src/seals.rs
+++ b/crates/edge/src/seals.rs
@@ -105,9 +105,12 @@
                 Ok(it) => {
                     info!(target: "tls", side = self.name, serial = it.serial, expires = it.expires, "certificates taken");
                     (*sealed, self.told, taken) = (it, Expiry::Far, true);
+                    self.watched.taken();
                 }
                 Err(e) => {
-                    error!(target: "tls", side = self.name, "certificates not taken, those in service stay: {e}")
+                    if self.watched.refused(&e, true) {
+                        error!(target: "tls", side = self.name, "certificates not taken, those in service stay: {e}");
+                    }
                 }
             }
         }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -78,6 +78,7 @@
                 floor.answer(key, &answer);
             }
             floor.session_clock(play);
+            floor.tell_rung(play);
         }
         self.desk.playing(now, play, &mut self.floor);
         for figure in load {
@@ -276,6 +277,7 @@
             floor.servers[server as usize].idle.push(key);
         }
         floor.next_errand(server);
+        floor.rung_was_told(what);
         if let What::Segment { player, play, number } = what {
             floor.fetchers.remove(&player);
             if let Some(session) = floor.book.get_mut(play) {
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -99,6 +99,9 @@
     pub sent: f64,
     pub line: Option<u64>,
     pub rung: usize,
+    /// The rung that its server was last told, and whether that word is still under way.
+    pub told: usize,
+    pub telling: bool,
     /// When the first frame was at hand; when its player last asked for something; requests under way.
     pub started: f64,
     pub last_asked: f64,
@@ -226,7 +229,7 @@
             return None;
         }
         let session = self.sessions.get_mut(&play)?;
-        (session.server, session.rung, session.sent) = (Some(server), rung, now);
+        (session.server, session.rung, session.told, session.sent) = (Some(server), rung, rung, now);
         session.allocations += 1;
         Some(session.allocations)
     }
@@ -299,6 +302,8 @@
             sent: 0.0,
             line: None,
             rung: 0,
+            told: 0,
+            telling: false,
             started: 0.0,
             last_asked: now,
             fetching: 0,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,6 +7,7 @@
 use crate::listing::{List, Watched};
 use crate::rundown::{Keys, homes};
 use pulleystair_admission::reads::Budget;
+use pulleystair_templates::Fault;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tracing::{error, info};
@@ -18,8 +19,17 @@
             return;
         }
         match read_list(&floor.rundown) {
-            Ok(list) => self.take_list(list),
-            Err(e) => error!(target: "list", "list not taken, the one in hand stays: {e}"),
+            Ok(list) => {
+                floor.watched.taken();
+                self.take_list(list);
+            }
+            // One that could not be read may hold a drain: it is read as soon as it can be. One that was read and is
+            // wrong stays wrong until it is replaced, and may be too large to be read at every look.
+            Err(e) => {
+                if floor.watched.refused(&e, matches!(e, Fault::Unreadable { .. })) {
+                    error!(target: "list", "list not taken, the one in hand stays: {e}");
+                }
+            }
         }
     }
 
@@ -83,8 +93,13 @@
                 Ok(homes) => {
                     info!(target: "list", ?homes, "homes taken");
                     floor.homes = homes;
+                    watched.taken();
+                }
+                Err(e) => {
+                    if watched.refused(&e, true) {
+                        error!(target: "list", "homes not taken, those in hand stay: {e}");
+                    }
                 }
-                Err(e) => error!(target: "list", "homes not taken, those in hand stay: {e}"),
             }
         }
     }
@@ -125,8 +140,15 @@
         });
         let revoked = match taken {
             Ok(revoked) => revoked,
-            Err(e) => return error!(target: "keys", "keys not taken, those in service stay: {e}"),
+            // The secrets are files of their own, and may come after the file that names them.
+            Err(e) => {
+                if watched.refused(&e, true) {
+                    error!(target: "keys", "keys not taken, those in service stay: {e}");
+                }
+                return;
+            }
         };
+        watched.taken();
         let (entry, pass) = (&floor.entry_keys, &floor.pass_keys);
         info!(target: "keys", ?entry, ?pass, revoked = revoked.len(), "keys taken");
         floor.revoked = revoked.into_iter().collect();
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -75,9 +75,21 @@
     }
 
     pub async fn of(day: Value) -> House {
+        House::run_by(day, Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into())).await
+    }
+
+    /// A house whose fronts are started by a shell after this word, which limits what they may have.
+    pub async fn within(day: Value, word: &str) -> House {
+        let edge = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
+        let mut words = vec!["-c".to_string(), format!("{word}; exec \"$0\" \"$@\"")];
+        words.push(edge.path.display().to_string());
+        words.extend(edge.words);
+        House::run_by(day, Program { path: "/bin/sh".into(), words }).await
+    }
+
+    async fn run_by(day: Value, program: Program) -> House {
         let day: Day = serde_json::from_value(day).expect("the day reads");
         let folder = tempfile::tempdir().expect("a folder can be had");
-        let program = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
         let set = Set::build(day, program, folder.path()).await.expect("the set is built");
         let at = set.start().await.expect("the fronts start");
         let seal = set.fronts.connector().expect("an authority's own connector");
@@ -101,12 +113,16 @@
     }
 
     pub fn token(&self, session: &str, product: usize) -> String {
+        self.token_to(session, product, 1)
+    }
+
+    fn token_to(&self, session: &str, product: usize, top: usize) -> String {
         self.fronts.sign(&Entry {
             jti: session.into(),
             sub: "viewer".into(),
             product: self.day.products[product].name.clone(),
             title: self.titles[product].name.clone(),
-            top: 1,
+            top,
             exp: (self.log.now() / 1000.0) as u64 + 600,
         })
     }
@@ -133,6 +149,12 @@
         Asking { peer, request, log: self.log.clone() }
     }
 
+    /// Asks for a play of up to this rung, outside the log of requests.
+    pub async fn ask_top(&self, session: &str, product: usize, top: usize) -> Message {
+        let (of, title) = (&self.day.products[product].name, &self.titles[product].name);
+        self.get(&address::manifest(of, title, &self.token_to(session, product, top))).await
+    }
+
     pub async fn ask(&self, session: &str, product: usize) -> Message {
         self.ask_at(0, session, product).await.answer().await
     }
