--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,6 +11,7 @@
 use crate::rundown::Rundown;
 use crate::seals::Seals;
 use crate::sessions::{Book, Bounds, Life};
+use crate::tally::Tally;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
@@ -26,9 +27,13 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{debug, info, warn};
+use tracing_appender::non_blocking::ErrorCounter;
 
 /// File descriptors beside those of players and plays: to servers, for the log, the list and the loop.
 const SPARE_FILES: u64 = 256;
+/// So often, and so far apart, are the last sums offered to a log that drops them.
+const LAST_WORDS: usize = 50;
+const LAST_WORD: Duration = Duration::from_millis(20);
 
 pub struct Edge {
     pub(crate) desk: Desk,
@@ -57,11 +62,12 @@
 /// The signals to stop and to look at all files anew, held back for the loop to read. To be called before any thread
 /// starts: a thread that does not hold them back would end the process.
 pub fn stop_signals() -> anyhow::Result<Signals> {
-    Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?)
+    // The last one comes where the log's file may grow no more; not held back it would end the process.
+    Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGXFSZ])?)
 }
 
-/// Starts a front and runs it until it is told to stop.
-pub fn run(rundown: Rundown, stop: Signals) -> anyhow::Result<()> {
+/// Starts a front and runs it until it is told to stop; `dropped` counts lines that its log could not take.
+pub fn run(rundown: Rundown, stop: Signals, dropped: ErrorCounter) -> anyhow::Result<()> {
     let mut event_loop: EventLoop<'static, Edge> = EventLoop::try_new()?;
     let handle = event_loop.handle();
     let listener = TcpListener::bind(rundown.listen)
@@ -74,7 +80,7 @@
     if may_open < wanted + SPARE_FILES {
         warn!(target: "front", may_open, wanted, "too few file descriptors for the limits of this front");
     }
-    let mut edge = Edge::new(rundown, handle.clone())?;
+    let mut edge = Edge::new(rundown, handle.clone(), dropped)?;
     let door =
         handle.insert_source(Generic::new(listener, Interest::READ, Mode::Level), |_, listener, edge| {
             edge.accept(listener);
@@ -83,6 +89,7 @@
     edge.floor.door = Some(door);
     handle.insert_source(stop, |event, (), edge| match event.signal() {
         Signal::SIGHUP => edge.look_at_all(),
+        Signal::SIGXFSZ => {}
         _ => edge.stop(),
     })?;
     info!(target: "front", %address, servers = edge.floor.servers.len(), "listens");
@@ -95,11 +102,24 @@
         edge.floor.wall.look(now, since_1970().as_secs_f64() * 1000.0);
     }
     info!(target: "front", left = edge.floor.book.held().len(), "stopped");
+    // The last word is the sums. A log that is read, if slowly, is given the time to take them.
+    for _ in 0..LAST_WORDS {
+        let before = edge.floor.dropped.dropped_lines();
+        edge.floor.write_tally();
+        if edge.floor.dropped.dropped_lines() == before {
+            break;
+        }
+        std::thread::sleep(LAST_WORD);
+    }
     Ok(())
 }
 
 impl Edge {
-    fn new(rundown: Rundown, handle: LoopHandle<'static, Edge>) -> anyhow::Result<Edge> {
+    fn new(
+        rundown: Rundown,
+        handle: LoopHandle<'static, Edge>,
+        dropped: ErrorCounter,
+    ) -> anyhow::Result<Edge> {
         let since = since_1970();
         let seed = rundown.seed.unwrap_or(since.as_nanos() as u64);
         let limits = &rundown.limits;
@@ -150,6 +170,9 @@
             woken: Vec::new(),
             run: format!("{:x}-{:x}", since.as_millis() as u64, std::process::id()),
             started: (Instant::now(), since.as_secs_f64() * 1000.0),
+            tally: Tally::default(),
+            tallied: (Tally::default(), 0),
+            dropped,
             stopping: false,
             halted: false,
             rundown,
@@ -160,6 +183,7 @@
         edge.look_at_homes();
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.list_poll_ms, Clock::List);
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.keys_poll_ms, Clock::Keys);
+        edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.tally_ms, Clock::Tally);
         Ok(edge)
     }
 
@@ -218,6 +242,10 @@
                     self.look_at_homes();
                 }
                 Clock::Accept => self.floor.take_connections(true),
+                Clock::Tally => {
+                    self.floor.clock(now + self.floor.rundown.limits.tally_ms, Clock::Tally);
+                    self.floor.write_tally();
+                }
                 Clock::Stop => self.give_up(),
             }
             self.settle();
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -9,6 +9,7 @@
 use crate::rundown::{Rundown, Rung};
 use crate::seals::Seals;
 use crate::sessions::{Book, Final, Life};
+use crate::tally::Tally;
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Figure, Outcome};
 use pulleystair_admission::lag::Lag;
@@ -27,6 +28,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 use tracing::{debug, error, info};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::edge::Edge;
 
@@ -47,6 +49,7 @@
     List,
     Keys,
     Accept,
+    Tally,
     Stop,
 }
 
@@ -106,6 +109,10 @@
     /// Names this run of this front in the names of its allocations.
     pub(crate) run: String,
     pub(crate) started: (Instant, f64),
+    pub(crate) tally: Tally,
+    /// The sums as they were last written, and the log's count of lines that it dropped.
+    pub(crate) tallied: (Tally, usize),
+    pub(crate) dropped: ErrorCounter,
     pub(crate) stopping: bool,
     /// A second signal came.
     pub(crate) halted: bool,
@@ -159,6 +166,22 @@
         }
     }
 
+    /// Writes the sums, where they have changed since they were last written.
+    pub(crate) fn write_tally(&mut self) {
+        let sums = (self.tally, self.dropped.dropped_lines());
+        if sums == self.tallied {
+            return;
+        }
+        self.tallied = sums;
+        let Tally { taken, away, played, declined, failed, left, ended, lost, allocations, segments } =
+            sums.0;
+        let deciding = self.book.deciding();
+        info!(
+            target: "tally", taken, away, played, declined, failed, left, deciding, ended, lost, allocations, segments,
+            lines_dropped = sums.1, "since the start",
+        );
+    }
+
     // ---- answers to players ----
 
     /// Seconds to stay away that a player is told.
@@ -338,7 +361,12 @@
     /// The play is over: whoever waits gets the answer, and the play its line in the log.
     pub(crate) fn over(&mut self, play: u64, cause: &'static str, answer: Final) {
         let now = self.now();
-        let Some(session) = self.book.get(play) else { return };
+        let Some(session) = self.book.get(play).filter(|s| !s.life().over()) else { return };
+        if session.started > 0.0 {
+            self.tally.over(cause);
+        } else {
+            self.tally.answered(answer.status);
+        }
         let played = if session.started > 0.0 { now - session.started } else { 0.0 };
         let set_up = if session.started > 0.0 { session.started - session.came } else { 0.0 };
         info!(
@@ -648,6 +676,7 @@
             return self.news.push_back(News { play, server, outcome: Outcome::NeverSent });
         };
         self.out += 1;
+        self.tally.allocations += 1;
         let Some(session) = self.book.get(play) else { return };
         let product = session.product;
         let body = serde_json::json!({
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -3,9 +3,10 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use pulleystair_edge::edge::{self, read_list, stop_signals};
 use pulleystair_edge::rundown::Rundown;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -21,6 +22,9 @@
     /// What is logged: a level, or targets with levels such as `play=info,server=debug`
     #[arg(long, default_value = "info", global = true)]
     level: String,
+    /// Lines that may wait for whoever reads the log; further ones are dropped and counted
+    #[arg(long, default_value_t = 65_536, global = true)]
+    log_lines: usize,
     #[command(subcommand)]
     job: Job,
 }
@@ -41,28 +45,26 @@
     Show { rundown: PathBuf },
 }
 
-/// Lines that may wait for whoever reads the log; further ones are dropped. A reader that is slow must not
-/// stall viewers.
-const LOG_LINES: usize = 65_536;
-
-/// Logs by a thread of its own, which writes what is left when the guard is dropped.
-fn logs(command: &Command) -> anyhow::Result<WorkerGuard> {
+/// Logs by a thread of its own, which writes what is left when the guard is dropped. A reader that is slow must not stall
+/// viewers: what it does not take is dropped, and counted.
+fn logs(command: &Command) -> anyhow::Result<(WorkerGuard, ErrorCounter)> {
     let filter = EnvFilter::try_new(&command.level)?;
-    let lines = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).lossy(true);
+    let lines = NonBlockingBuilder::default().buffered_lines_limit(command.log_lines).lossy(true);
     let (writer, guard) = lines.finish(std::io::stderr());
+    let dropped = writer.error_counter();
     let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
     match command.log {
         Log::Text => to.with_ansi(false).init(),
         Log::Json => to.json().flatten_event(true).init(),
     }
-    Ok(guard)
+    Ok((guard, dropped))
 }
 
 fn run(command: Command) -> anyhow::Result<()> {
     let stop = stop_signals()?;
-    let _guard = logs(&command)?;
+    let (_guard, dropped) = logs(&command)?;
     match command.job {
-        Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop),
+        Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop, dropped),
         Job::Check { rundown } => {
             let it = Rundown::read(&rundown)?;
             let list = read_list(&it)?;
@@ -87,7 +89,8 @@
     match run(Command::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("pulleystair-edge: {e:#}");
+            // Whoever should read it may be gone, which is no reason to end in a panic.
+            let _ = writeln!(std::io::stderr(), "pulleystair-edge: {e:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/edge/src/players.rs
+++ b/crates/edge/src/players.rs
@@ -212,15 +212,20 @@
             limit,
         };
         if floor.stopping && !known {
+            floor.tally.away += 1;
             return Some(floor.away("this front is stopping"));
         }
         let behind = floor.lag.behind(now, floor.rundown.admission.behind_ms);
         if behind && !known {
+            floor.tally.away += 1;
             return Some(floor.away("this front is behind with its work"));
         }
         match floor.book.ask(now, &request, key) {
             Asked::Foreign => Some(words(403, "this session is another viewer's or title's")),
-            Asked::Full(limit) => Some(floor.away(&format!("this front is at its limit of {limit}"))),
+            Asked::Full(limit) => {
+                floor.tally.away += 1;
+                Some(floor.away(&format!("this front is at its limit of {limit}")))
+            }
             Asked::Answered(answer) if answer.status != 200 => Some(answer),
             // The same play, with a pass whose time begins anew.
             Asked::Answered(answer) => {
@@ -232,6 +237,7 @@
                 None
             }
             Asked::New(play) => {
+                floor.tally.taken += 1;
                 floor.wait_for(key, play);
                 self.admit_or_wait(now, play);
                 None
--- a/crates/edge/src/rundown.rs
+++ b/crates/edge/src/rundown.rs
@@ -271,6 +271,8 @@
     pub key_overlap_ms: f64,
     /// A certificate that runs out within this is told of in the log.
     pub expiry_ms: f64,
+    /// How often what was done since the start is written to the log, where that has changed.
+    pub tally_ms: f64,
     /// After a signal to stop, plays may run on for so long.
     pub stop_ms: f64,
 }
@@ -306,6 +308,7 @@
             skew_ms: 5_000.0,
             key_overlap_ms: 120_000.0,
             expiry_ms: 7.0 * 86_400_000.0,
+            tally_ms: 10_000.0,
             stop_ms: 10_000.0,
         }
     }
@@ -580,6 +583,7 @@
             ("key_overlap_ms", l.key_overlap_ms),
             ("expiry_ms", l.expiry_ms),
             ("stop_ms", l.stop_ms),
+            ("tally_ms", l.tally_ms),
         ];
         for (name, x) in times {
             positive(&format!("limits.{name}"), x)?;
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -5,6 +5,7 @@
 use crate::http::{self, Body};
 use crate::lines::{Doing, Key, Role, Stage, What};
 use crate::sessions::Life;
+use crate::tally::LOST;
 use pulleystair::{Figure, Outcome};
 use pulleystair_admission::reads::Fault;
 use tracing::{debug, warn};
@@ -74,6 +75,7 @@
         floor.limit.set_up(now - asked, floor.out);
         floor.out = floor.out.saturating_sub(1);
         if let Some(answer) = floor.manifest_of(play) {
+            floor.tally.played += u64::from(floor.book.get(play).is_some_and(|s| s.life() == Life::Out));
             for key in floor.book.plays(now, play, answer.clone()) {
                 floor.answer(key, &answer);
             }
@@ -138,7 +140,7 @@
             closed = self.floor.book.get(play).is_some_and(|s| s.life() == Life::Playing);
             if closed {
                 let lost = outcome != Outcome::Finished;
-                let cause = if lost { "server lost" } else { "server ended it" };
+                let cause = if lost { LOST } else { "server ended it" };
                 self.floor.over(play, cause, words(410, cause));
             } else {
                 debug!(target: "play", play, server = self.floor.name(server), ?outcome, "allocation ended");
@@ -280,6 +282,7 @@
         floor.rung_was_told(what);
         if let What::Segment { player, play, number } = what {
             floor.fetchers.remove(&player);
+            floor.tally.segments += 1;
             if let Some(session) = floor.book.get_mut(play) {
                 session.fetching = session.fetching.saturating_sub(1);
                 session.last_asked = now;
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -638,9 +638,7 @@
 }
 
 async fn signal(house: &House) {
-    let id = house.fronts.process(0).expect("the front runs").to_string();
-    let sent = tokio::process::Command::new("kill").args(["-TERM", &id]).status().await;
-    assert!(sent.expect("a signal is sent").success());
+    house.signal(0, "-TERM").await;
 }
 
 #[tokio::test]
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -96,6 +96,26 @@
         House { set, at, folder, requests: AtomicU64::new(1), seal }
     }
 
+    /// Kills a front outright and starts it anew.
+    pub async fn restart(&mut self, front: usize) {
+        self.fronts.kill(front).await;
+        self.at[front] = self.fronts.start(front).await.expect("it starts again");
+    }
+
+    pub async fn signal(&self, front: usize, name: &str) {
+        let id = self.fronts.process(front).expect("the front runs").to_string();
+        let sent = tokio::process::Command::new("kill").args([name, &id]).status().await;
+        assert!(sent.expect("a signal is sent").success());
+    }
+
+    /// The latest sums that a front wrote to its log, by name.
+    pub fn tally(&self, front: usize) -> serde_json::Map<String, Value> {
+        let log = self.log_of(front);
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let last = lines.filter(|line| line["target"] == "tally").last();
+        last.and_then(|line| line.as_object().cloned()).unwrap_or_default()
+    }
+
     pub fn folder(&self) -> &Path {
         self.folder.path()
     }
@@ -229,6 +249,11 @@
         answer
     }
 
+    /// That the connection broke, as a player sees it.
+    pub fn cut(&self) -> What {
+        What::Cut { request: self.request }
+    }
+
     /// Closes without waiting for the answer.
     pub fn leave(self) {
         self.log.saw(What::Left { request: self.request });
