--- a/crates/edge/tests/days.rs
+++ b/crates/edge/tests/days.rs
@@ -5,6 +5,7 @@
 use pulleystair_lab::fronts::Program;
 use pulleystair_lab::script::Day;
 use pulleystair_witness::What;
+use pulleystair_witness::history::History;
 use serde_json::json;
 use std::path::Path;
 use test_case::test_case;
@@ -38,11 +39,19 @@
 async fn a_short_bad_day_keeps_every_rule(seed: u64) {
     let folder = tempfile::tempdir().expect("a folder can be had");
     let program = Program::edge(env!("CARGO_BIN_EXE_pulleystair-edge").into());
-    let outcome = play(short(seed), program, folder.path()).await.expect("the day is played");
+    let day = short(seed);
+    let outcome = play(day.clone(), program, folder.path()).await.expect("the day is played");
     let count = |is: fn(&What) -> bool| outcome.seen.iter().filter(|s| is(&s.what)).count();
     let (asked, set_up) =
         (count(|w| matches!(w, What::Asked { .. })), count(|w| matches!(w, What::SetUp { .. })));
     let fetched = count(|w| matches!(w, What::Fetched { .. }));
     assert!(asked > 50 && set_up > 30 && fetched > 50, "{asked} asked, {set_up} set-ups, {fetched} fetched");
     assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
+    assert!(outcome.covered.further > 0 && outcome.covered.drains > 0, "{:?}", outcome.covered);
+    // With a folder named, the history is written there, to be kept in `crates/witness/histories`.
+    if let Some(folder) = std::env::var_os("PULLEYSTAIR_HISTORIES") {
+        let what = format!("a short bad day under TLS, two fronts, seed {seed}");
+        let text = History::new(&what, &[], day.terms(), outcome.seen).text().expect("a history is plain");
+        std::fs::write(Path::new(&folder).join(format!("day-{seed}.jsonl")), text).expect("it is written");
+    }
 }
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -431,6 +431,9 @@
         "least": 8, "most": 8, "queue": 100, "reserve_ms": 400, "work_ms": 1e9, "behind_ms": 1e9,
     });
     let house = House::of(day).await;
+    // A list that is told anew vouches for its servers: none is taken for cold, which has a pace of its own.
+    house.stage.list(0, Listed::Ready { started: 0.0 });
+    house.says("list taken", 2).await;
     // Eight set-ups of 100 ms at once, for a second and a bit: under a hundred of three hundred.
     house.ail(|a| a.slow = 20.0);
     let mut asking = Vec::new();
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -10,6 +10,7 @@
 use pulleystair_lab::fronts::{FRONT, Program};
 use pulleystair_lab::script::Day;
 use pulleystair_lab::set::Set;
+use pulleystair_witness::history::History;
 use pulleystair_witness::rules::check;
 use pulleystair_witness::{Seen, What};
 use serde_json::{Value, json};
@@ -227,6 +228,11 @@
         seen.iter().filter_map(server).collect()
     }
 
+    /// What has been seen so far, with the terms that it is held to.
+    pub fn history(&self, what: &str, breaks: &[u8]) -> History {
+        History::new(what, breaks, self.day.terms(), self.log.taken())
+    }
+
     /// All rules must have been kept, on a log that holds something.
     pub fn kept(&self) {
         let (breaches, covered) = check(&self.log.taken(), &self.day.terms());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use pulleystair_lab::fronts::{Program, portal};
 use pulleystair_lab::set::Set;
 use pulleystair_lab::{baseline, day, load, report, script::Day};
+use pulleystair_witness::history::History;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -105,8 +106,10 @@
             print!("{}", it.text());
             std::fs::write(out.join("report.json"), serde_json::to_string_pretty(&it)?)?;
             report::plot(&day, &outcome, &out.join("plays.svg"))?;
-            let lines: Result<Vec<String>, _> = outcome.seen.iter().map(serde_json::to_string).collect();
-            std::fs::write(out.join("seen.jsonl"), lines?.join("\n") + "\n")?;
+            let broken: Vec<u8> = outcome.breaches.iter().map(|breach| breach.rule).collect();
+            let what = format!("{}, seed {}", script.display(), day.seed);
+            let history = History::new(&what, &broken, day.terms(), outcome.seen);
+            std::fs::write(out.join("seen.jsonl"), history.text()?)?;
             println!("report.json, plays.svg, seen.jsonl and the fronts' logs are in {}", out.display());
             Ok(outcome.breaches.is_empty())
         }
