--- /dev/null
+++ b/crates/boxes/tests/stops.rs
@@ -0,0 +1,71 @@
+//! A stand-in's process that ends takes every connection with it, whatever was under way: what tests conclude of lost
+//! servers hangs on that. On one thread the tasks run in a fixed order, so the end can be put after each of their
+//! turns; sockets are looked at every sixty-odd turns.
+
+use pulleystair_boxes::log::Log;
+use pulleystair_boxes::server::Boxes;
+use pulleystair_boxes::wire::Peer;
+use pulleystair_boxes::world::{Build, Ground};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+async fn one_server() -> Boxes {
+    let ground = Ground {
+        ladder: vec![100.0],
+        uplinks_kb: vec![1000.0],
+        shared_part: 1.0,
+        rate_spread: 0.0,
+        reports_late_ms: 0.0,
+        notes_late_ms: 0.0,
+        notes_every_ms: 1000.0,
+        cold_ms: 1000.0,
+        cold_from: 0.5,
+        overload: 2.0,
+        fall_ms: 1000.0,
+        down_ms: 1000.0,
+        lease_ms: 100.0,
+    };
+    let build = Build {
+        zone: 0,
+        cell: 0,
+        cores: 1,
+        queue: 1,
+        streams: 10,
+        link_kb: 1000.0,
+        work_ms: 1.0,
+        work_spread: 0.0,
+    };
+    Boxes::start(ground, vec![build], HashMap::new(), Vec::new(), 1, Log::default()).await.expect("it starts")
+}
+
+/// Stops the server after so many turns: each is a task of its own, at the end of the line.
+fn after(turns: usize, boxes: Boxes, stopped: oneshot::Sender<()>) {
+    tokio::spawn(async move {
+        if turns > 0 {
+            return after(turns - 1, boxes, stopped);
+        }
+        boxes.stop(0);
+        let _ = stopped.send(());
+    });
+}
+
+#[tokio::test]
+async fn a_connection_made_while_the_process_ends_ends_with_it() {
+    for turns in 0..200 {
+        let boxes = one_server().await;
+        let mut peer = Peer::new(TcpStream::connect(boxes.addresses[0]).await.expect("a connection"));
+        let (stopped, is) = oneshot::channel();
+        after(turns, boxes, stopped);
+        is.await.expect("it is stopped");
+        let _ = peer.write(b"GET /load HTTP/1.1\r\nHost: m\r\n\r\n").await;
+        let answer =
+            timeout(Duration::from_secs(10), peer.answer()).await.expect("an end, one way or the other");
+        assert!(
+            !matches!(answer, Ok(Some(_))),
+            "answered by a process that had ended {turns} turns after the call"
+        );
+    }
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -87,12 +87,11 @@
         let count = day.fleet.servers;
         let board = Board { states: vec![Listed::Ready { started: 0.0 }; count], taken: vec![false; count] };
         let stage = Stage { day, titles, boxes, fronts, log, file, board: Arc::new(Mutex::new(board)) };
-        stage.write()?;
+        stage.write(&stage.board.lock().expect("nobody dies while holding the board"))?;
         Ok(stage)
     }
 
-    fn write(&self) -> Result<()> {
-        let board = self.board.lock().expect("nobody dies while holding the board");
+    fn write(&self, board: &Board) -> Result<()> {
         let mut servers = Vec::new();
         for (server, state) in board.states.iter().enumerate() {
             let (word, started) = match state {
@@ -129,11 +128,13 @@
         Ok(put(&self.file, text)?)
     }
 
-    /// Lists a server anew, for all fronts at once.
+    /// Lists a server anew, for all fronts at once. What is decided, logged and written is one step: another change
+    /// must not put this one into the file before the log has it, or a front would seem to act on what nobody told.
     pub fn list(&self, server: usize, state: Listed) {
-        self.board.lock().expect("nobody dies while holding the board").states[server] = state;
+        let mut board = self.board.lock().expect("nobody dies while holding the board");
+        board.states[server] = state;
         self.log.saw(What::Listed { server, ready: matches!(state, Listed::Ready { .. }) });
-        if let Err(e) = self.write() {
+        if let Err(e) = self.write(&board) {
             eprintln!("pulleystair-lab: the list could not be written: {e}");
         }
     }
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -132,6 +132,15 @@
     }
 }
 
+/// When processes began and ended: those of servers that began cold, and those of fronts.
+#[derive(Default)]
+struct Lives {
+    starts: Vec<(usize, f64)>,
+    stops: Vec<(usize, f64)>,
+    ups: BTreeMap<usize, Vec<f64>>,
+    downs: Vec<(usize, f64)>,
+}
+
 /// Checks all rules on a log in any order.
 pub fn check(log: &[Seen], terms: &Terms) -> (Vec<Breach>, Covered) {
     let mut log: Vec<&Seen> = log.iter().collect();
@@ -139,18 +148,15 @@
     let end = log.last().map_or(0.0, |s| s.at);
     let mut requests: BTreeMap<u64, Request> = BTreeMap::new();
     let mut allocations: BTreeMap<&str, Allocation> = BTreeMap::new();
-    let mut downs: Vec<(usize, f64)> = Vec::new();
-    let mut ups: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+    let mut lives = Lives::default();
     let mut listed: BTreeMap<usize, Vec<(f64, bool)>> = BTreeMap::new();
-    let mut starts: Vec<(usize, f64)> = Vec::new();
-    let mut stops: Vec<(usize, f64)> = Vec::new();
     let mut breaches = Vec::new();
     let mut covered = Covered::default();
     for seen in &log {
         let at = seen.at;
         match &seen.what {
             What::Asked { request, session, front, product, title, top } => {
-                let run = (*front, ups.get(front).map_or(0, |ups| ups.len().saturating_sub(1)));
+                let run = (*front, lives.ups.get(front).map_or(0, |ups| ups.len().saturating_sub(1)));
                 let (product, top) = (*product, *top);
                 let it = Request { at, session, run, product, title, top, answers: Vec::new(), gone: None };
                 requests.insert(*request, it);
@@ -215,23 +221,23 @@
                     a.rungs.push((at, *rung));
                 }
             }
-            What::Front { front, up: false } => downs.push((*front, at)),
-            What::Front { front, up: true } => ups.entry(*front).or_default().push(at),
-            What::Started { server, cold: true } => starts.push((*server, at)),
+            What::Front { front, up: false } => lives.downs.push((*front, at)),
+            What::Front { front, up: true } => lives.ups.entry(*front).or_default().push(at),
+            What::Started { server, cold: true } => lives.starts.push((*server, at)),
             What::Started { .. } => {}
-            What::Stopped { server } => stops.push((*server, at)),
+            What::Stopped { server } => lives.stops.push((*server, at)),
             What::Listed { server, ready } => listed.entry(*server).or_default().push((at, *ready)),
         }
     }
     let requests: Vec<Request> = requests.into_values().collect();
     let mut allocations: Vec<Allocation> = allocations.into_values().collect();
-    assign(&requests, &mut allocations, &downs, terms);
+    assign(&requests, &mut allocations, &lives.downs, terms);
     covered.requests = requests.len();
     covered.set_ups = allocations.len();
-    answered_once(&requests, &allocations, &downs, end, terms, &mut breaches);
+    answered_once(&requests, &allocations, &lives.downs, end, terms, &mut breaches);
     one_at_a_time(&requests, &allocations, terms, &mut breaches, &mut covered);
     drains_kept(&allocations, &listed, terms, &mut breaches, &mut covered);
-    cold_not_overrun(&allocations, &listed, &starts, &stops, &ups, terms, &mut breaches, &mut covered);
+    cold_not_overrun(&allocations, &listed, &lives, terms, &mut breaches, &mut covered);
     terms_kept(&requests, &allocations, terms, &mut breaches);
     budget_kept(&requests, &allocations, terms, &mut breaches);
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -405,13 +411,12 @@
 fn cold_not_overrun(
     allocations: &[Allocation],
     listed: &BTreeMap<usize, Vec<(f64, bool)>>,
-    starts: &[(usize, f64)],
-    stops: &[(usize, f64)],
-    ups: &BTreeMap<usize, Vec<f64>>,
+    lives: &Lives,
     terms: &Terms,
     breaches: &mut Vec<Breach>,
     covered: &mut Covered,
 ) {
+    let Lives { starts, stops, ups, .. } = lives;
     for (server, start) in starts {
         let stop = stops.iter().filter(|(s, at)| s == server && at > start).map(|(_, at)| *at);
         let until = stop.fold(start + terms.cold, f64::min);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -569,7 +569,7 @@
     /// The title's holders that this play may go to.
     fn holders(&self, play: &Play) -> Vec<usize> {
         let count = self.cells.len();
-        let row = (0..play.holders.min(count)).map(|i| (play.first_cell + i) % count);
+        let row = (0..play.holders.min(count)).map(|i| (play.first_cell % count + i) % count);
         row.flat_map(|c| &self.cells[c]).copied().filter(|s| self.may_take(*s, play)).collect()
     }
 
