--- a/crates/boxes/src/server.rs
+++ b/crates/boxes/src/server.rs
@@ -201,6 +201,7 @@
             ("GET", ["load"]) => peer.write(&shared.answer(server, 200)).await?,
             ("GET" | "HEAD", ["plays", name, rung, number]) => {
                 let (rung, number) = (rung.parse().ok(), number.parse().ok());
+                shared.world().servers[server].segments_read += 1;
                 if !segment(shared, server, &mut peer, name, rung, number, &request).await? {
                     return Ok(());
                 }
--- a/crates/boxes/src/world.rs
+++ b/crates/boxes/src/world.rs
@@ -129,8 +129,9 @@
     pub ails: Ails,
     pub plays: BTreeMap<String, Play>,
     pub started: Option<f64>,
-    /// Steps of rung that were asked for, carried out or not.
+    /// Steps of rung and segments that were asked for, carried out and sent or not.
     pub steps_read: usize,
+    pub segments_read: usize,
     /// Counts the starts: what ran before the present one is gone.
     pub life: u64,
     sent: VecDeque<f64>,
@@ -150,6 +151,7 @@
             plays: BTreeMap::new(),
             started: None,
             steps_read: 0,
+            segments_read: 0,
             life: 0,
             sent: VecDeque::new(),
             history: VecDeque::new(),
