--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -230,6 +230,7 @@
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
                 Clock::Line(key) => self.line_due(now, key),
+                Clock::Rung(play) => self.floor.rung_due(play),
                 Clock::Queue => self.admit_waiting(),
                 Clock::Session(play) => self.session_due(now, play),
                 Clock::List => {
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -45,6 +45,8 @@
     TimeOut(u64, usize),
     Line(Key),
     Session(u64),
+    /// The word of a step of this play was lost: it is told again.
+    Rung(u64),
     Queue,
     List,
     Keys,
@@ -528,7 +530,7 @@
             at.idle.retain(|k| *k != key);
             if let Some(errand) = errand {
                 self.next_errand(server);
-                self.rung_was_told(errand.what);
+                self.rung_was_told(errand.what, true);
             }
         }
     }
@@ -590,7 +592,7 @@
 
     /// The errand is given up; a player that waits for it is told, or cut off where a part had gone out.
     pub(crate) fn errand_lost(&mut self, errand: Errand, status: u16, why: &str) {
-        self.rung_was_told(errand.what);
+        self.rung_was_told(errand.what, false);
         let What::Segment { player, play, .. } = errand.what else { return };
         if errand.reading.is_some_and(|r| r.so_far().given.is_some()) {
             return self.player_cut(player);
@@ -633,15 +635,27 @@
         self.run_errand(server, Errand::new(What::Step { play }, request));
     }
 
-    /// The word of a step is under way no more, heard or not: a step that came meanwhile is told now.
-    pub(crate) fn rung_was_told(&mut self, what: What) {
+    /// The word of a step is under way no more: a step that came meanwhile is told now, and one that was not answered
+    /// again after a while, since the server may still run the play on the rung before.
+    pub(crate) fn rung_was_told(&mut self, what: What, answered: bool) {
         let What::Step { play } = what else { return };
-        if let Some(session) = self.book.get_mut(play) {
-            session.telling = false;
+        let again = self.now() + self.rundown.limits.segment_ms;
+        let Some(session) = self.book.get_mut(play) else { return };
+        session.telling = !answered;
+        if answered {
             self.tell_rung(play);
+        } else {
+            self.clock(again, Clock::Rung(play));
         }
     }
 
+    /// The time to tell a lost step again has come.
+    pub(crate) fn rung_due(&mut self, play: u64) {
+        let Some(session) = self.book.get_mut(play) else { return };
+        (session.told, session.telling) = (usize::MAX, false);
+        self.tell_rung(play);
+    }
+
     pub(crate) fn segment_head(&mut self, player: Key, play: u64, of: &Head) {
         let Some(session) = self.book.get(play) else { return };
         let product = &self.rundown.products[session.product];
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -279,7 +279,7 @@
             floor.servers[server as usize].idle.push(key);
         }
         floor.next_errand(server);
-        floor.rung_was_told(what);
+        floor.rung_was_told(what, true);
         if let What::Segment { player, play, number } = what {
             floor.fetchers.remove(&player);
             floor.tally.segments += 1;
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -99,7 +99,7 @@
     pub sent: f64,
     pub line: Option<u64>,
     pub rung: usize,
-    /// The rung that its server was last told, and whether that word is still under way.
+    /// The rung that its server was last told, and whether that word is still under way or to be said again.
     pub told: usize,
     pub telling: bool,
     /// When the first frame was at hand; when its player last asked for something; requests under way.
--- a/crates/edge/tests/shared.rs
+++ b/crates/edge/tests/shared.rs
@@ -92,6 +92,27 @@
     assert_eq!(steps(&house.log.taken()), [1, 0], "in the order in which they were decided");
 }
 
+#[tokio::test]
+async fn a_step_whose_word_was_lost_is_told_again() {
+    let mut day = day();
+    day["fleet"]["servers"] = json!(1);
+    day["fleet"]["racks"] = json!(1);
+    day["fleet"]["notes_late_ms"] = json!(0);
+    day["fleet"]["notes_every_ms"] = json!(600);
+    day["limits"] = json!({ "segment_ms": 300 });
+    for product in [FREE, PAID] {
+        day["products"][product]["holders"] = json!(1);
+        day["products"][product]["seconds"] = json!([60, 60]);
+    }
+    let house = House::of(day).await;
+    assert_eq!(house.ask_top("s", FREE, 1).await.status, 200);
+    // Steps are read and not answered in time; the front gives up each word.
+    house.ail(|a| (a.link, a.late_steps_ms) = (0.000_15, 3_600_000.0));
+    house.until_true("a step is under way", || house.boxes.world().servers[0].steps_read >= 1).await;
+    house.ail(|a| a.late_steps_ms = 0.0);
+    house.until_true("the server has heard of it", || rungs(&house, FREE) == [0]).await;
+}
+
 /// A media server in the test's own hands: what is asked of it comes out, and what it answers goes in.
 struct ByHand {
     asked: mpsc::UnboundedReceiver<(Peer, String)>,
