--- a/crates/edge/tests/stops.rs
+++ b/crates/edge/tests/stops.rs
@@ -163,6 +163,25 @@
     house.kept();
 }
 
+/// The front keeps nothing on disk, and by the rules a viewer who returns to one that was killed is a new request: its
+/// session is set up again, paid or not, but never beside the set-up that was out. See docs/review-of-parts.md.
+#[tokio::test]
+async fn a_paid_session_asked_for_again_after_a_kill_is_a_new_request_and_not_a_second_one_at_once() {
+    let mut house = House::of(patient()).await;
+    house.ail(|a| a.silent = true);
+    let asking = house.ask_at(0, "s", PAID).await;
+    house.until("its set-up", |seen| set_ups(seen) == 1).await;
+    house.restart(0).await;
+    house.log.saw(asking.cut());
+    house.ail(|a| a.silent = false);
+    let ended = |seen: &[Seen]| seen.iter().any(|s| matches!(s.what, What::Closed { .. }));
+    house.until("its server has seen the end of it", ended).await;
+    assert_eq!(house.ask("s", PAID).await.status, 200);
+    assert_eq!(house.ask("s", PAID).await.status, 200, "and that answer is given again");
+    assert_eq!(set_ups(&house.log.taken()), 2);
+    house.kept();
+}
+
 #[tokio::test]
 async fn a_drain_heard_of_before_a_kill_holds_after_it() {
     let mut house = House::open().await;
