List a lost server as gone in the same step as it is seen to be down

Seen: by reading. Change: both under the board's lock, which a start waits for. Ruled out: the log, which told what the list told.

--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -131,7 +131,11 @@
     /// Lists a server anew, for all fronts at once. What is decided, logged and written is one step: another change
     /// must not put this one into the file before the log has it, or a front would seem to act on what nobody told.
     pub fn list(&self, server: usize, state: Listed) {
-        let mut board = self.board.lock().expect("nobody dies while holding the board");
+        let board = self.board.lock().expect("nobody dies while holding the board");
+        self.put_up(board, server, state);
+    }
+
+    fn put_up(&self, mut board: MutexGuard<Board>, server: usize, state: Listed) {
         board.states[server] = state;
         self.log.saw(What::Listed { server, ready: matches!(state, Listed::Ready { .. }) });
         if let Err(e) = self.write(&board) {
@@ -165,9 +169,11 @@
         let (stage, late) = (self.clone(), ms(self.day.fleet.list_late_ms));
         tokio::spawn(async move {
             sleep(late).await;
+            // Seen to be down and listed as gone in one step: one that starts meanwhile is listed after that.
+            let board = stage.board.lock().expect("nobody dies while holding the board");
             let down = stage.boxes.world().servers[server].ails.down;
             if down {
-                stage.list(server, Listed::Gone);
+                stage.put_up(board, server, Listed::Gone);
             }
         });
     }
