--- a/crates/edge/tests/broken.rs
+++ b/crates/edge/tests/broken.rs
@@ -58,13 +58,7 @@
     house.says("list taken", 2).await;
     // Until then a front may not have read what it was told: the check's own time.
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let mut asking = Vec::new();
-    for i in 0..100 {
-        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
-    }
-    for one in asking {
-        one.answer().await;
-    }
+    house.crowd(100, FREE).await;
     house
 }
 
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -309,15 +309,7 @@
             log.matches("list taken").count() >= 2
         })
         .await;
-    let mut asking = Vec::new();
-    for i in 0..60 {
-        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
-    }
-    let mut played = 0;
-    for one in asking {
-        played += usize::from(one.answer().await.status == 200);
-    }
-    assert!(played > 0, "they take plays at their pace");
+    assert!(house.crowd(60, FREE).await > 0, "they take plays at their pace");
     assert!(house.set_ups().len() < 60, "not all at once");
     house.kept();
 }
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -180,6 +180,19 @@
         self.ask_at(0, session, product).await.answer().await
     }
 
+    /// So many sessions `s0`, `s1`, ... ask at once; how many of them play.
+    pub async fn crowd(&self, count: usize, product: usize) -> usize {
+        let mut asking = Vec::new();
+        for i in 0..count {
+            asking.push(self.ask_at(0, &format!("s{i}"), product).await);
+        }
+        let mut played = 0;
+        for one in asking {
+            played += usize::from(one.answer().await.status == 200);
+        }
+        played
+    }
+
     /// A connection to a front, under TLS where the day has it.
     pub async fn call(&self, front: usize) -> std::io::Result<Peer> {
         Peer::call(self.at[front], self.seal.as_ref().map(|seal| (seal, FRONT))).await
--- a/crates/edge/tests/stops.rs
+++ b/crates/edge/tests/stops.rs
@@ -232,15 +232,7 @@
         house.boxes.restart(server, true);
     }
     house.restart(0).await;
-    let mut asking = Vec::new();
-    for i in 0..60 {
-        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
-    }
-    let mut played = 0;
-    for one in asking {
-        played += usize::from(one.answer().await.status == 200);
-    }
-    assert!(played > 0, "they take plays at their pace");
+    assert!(house.crowd(60, FREE).await > 0, "they take plays at their pace");
     house.kept();
 }
 
