Show the rule that a reset taken for unreachable broke, on sockets

Here is what it cost: 400 paid plays asked for at once, servers that run each set-up and reset. Ruled out: further allocations after proof that nothing ran, since every server had run each. Module, desk and adapter untouched.

--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -122,6 +122,21 @@
     house.kept();
 }
 
+/// The front has much to do at once, so that resets come in before it has looked at the connections that it wrote on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_crowd_of_paid_set_ups_that_ran_and_were_reset_is_never_sent_again() {
+    let mut day = day();
+    day["fleet"]["work_ms"] = json!(0);
+    day["admission"] = json!({ "least": 1000, "most": 1000, "work_ms": 1e9, "behind_ms": 1e9 });
+    let house = House::of(day).await;
+    house.stage.list(0, Listed::Ready { started: 0.0 });
+    house.says("list taken", 2).await;
+    house.ail(|a| a.reset = 1.0);
+    assert_eq!(house.crowd(400, PAID).await, 0);
+    assert_eq!(house.set_ups().len(), 400, "one each");
+    house.kept();
+}
+
 #[tokio::test]
 async fn an_answer_that_comes_after_the_time_out() {
     let house = House::open().await;
