--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -628,10 +628,10 @@
             return;
         };
         let rung = session.rung;
-        if session.told == rung || session.telling {
+        if session.told == Some(rung) || session.telling {
             return;
         }
-        (session.told, session.telling) = (rung, true);
+        (session.told, session.telling) = (Some(rung), true);
         let target = self.allocation(play, n);
         let request = self.request_to(server, "PATCH", &target, &format!("{{\"rung\":{rung}}}"));
         self.run_errand(server, Errand::new(What::Step { play }, request));
@@ -654,7 +654,7 @@
     /// The time to tell a lost step again has come.
     pub(crate) fn rung_due(&mut self, play: u64) {
         let Some(session) = self.book.get_mut(play) else { return };
-        (session.told, session.telling) = (usize::MAX, false);
+        (session.told, session.telling) = (None, false);
         self.tell_rung(play);
     }
 
--- a/crates/edge/src/sessions.rs
+++ b/crates/edge/src/sessions.rs
@@ -99,8 +99,8 @@
     pub sent: f64,
     pub line: Option<u64>,
     pub rung: usize,
-    /// The rung that its server was last told, and whether that word is still under way or to be said again.
-    pub told: usize,
+    /// The rung that its server is known to have been told, and whether that word is still under way or to be said again.
+    pub told: Option<usize>,
     pub telling: bool,
     /// When the first frame was at hand; when its player last asked for something; requests under way.
     pub started: f64,
@@ -229,7 +229,7 @@
             return None;
         }
         let session = self.sessions.get_mut(&play)?;
-        (session.server, session.rung, session.told, session.sent) = (Some(server), rung, rung, now);
+        (session.server, session.rung, session.told, session.sent) = (Some(server), rung, Some(rung), now);
         session.allocations += 1;
         Some(session.allocations)
     }
@@ -307,7 +307,7 @@
             sent: 0.0,
             line: None,
             rung: 0,
-            told: 0,
+            told: None,
             telling: false,
             started: 0.0,
             last_asked: now,
--- a/crates/edge/tests/crowds.rs
+++ b/crates/edge/tests/crowds.rs
@@ -3,14 +3,14 @@
 
 mod house;
 
-use house::{House, base, day, get, text};
+use house::{House, base, day, get, set_ups, text};
 use pulleystair_admission::homes::home;
 use pulleystair_boxes::content;
 use pulleystair_boxes::wire::Peer;
 use pulleystair_dash::address;
 use pulleystair_dash::token::Entry;
 use pulleystair_lab::fronts::portal;
-use pulleystair_witness::{Seen, What};
+use pulleystair_witness::What;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,10 +21,6 @@
 const FREE: usize = 0;
 const PAID: usize = 1;
 
-fn set_ups(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
-}
-
 fn two_fronts() -> serde_json::Value {
     let mut day = day();
     day["fronts"] = json!(2);
--- a/crates/edge/tests/dash.rs
+++ b/crates/edge/tests/dash.rs
@@ -3,11 +3,11 @@
 
 mod house;
 
-use house::{House, base, day, get, text};
+use house::{House, base, day, get, set_ups, text};
 use pulleystair_boxes::content;
 use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Message;
-use pulleystair_witness::{Seen, What};
+use pulleystair_witness::What;
 use serde_json::{Value, json};
 
 const FREE: usize = 0;
@@ -26,10 +26,6 @@
     house.until_true("the front has looked at the list", || looked() > before).await;
 }
 
-fn set_ups(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
-}
-
 fn now(house: &House) -> u64 {
     house.log.now() as u64
 }
--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -3,7 +3,7 @@
 
 mod house;
 
-use house::{House, base, day, get, text};
+use house::{House, base, day, get, set_ups, text};
 use pulleystair_boxes::content;
 use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Peer;
@@ -57,10 +57,6 @@
     spans.values().map(|(from, _)| out(*from)).max().unwrap_or(0)
 }
 
-fn asked_for(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
-}
-
 #[tokio::test]
 async fn a_play_from_manifest_to_last_segment() {
     let house = House::open().await;
@@ -108,16 +104,16 @@
 #[test_case(FREE, 200, 2; "free: sent again elsewhere")]
 #[test_case(PAID, 502, 1; "paid: never sent again, nor called declined")]
 #[tokio::test]
-async fn a_reset_after_the_set_up_ran(product: usize, status: u16, set_ups: usize) {
+async fn a_reset_after_the_set_up_ran(product: usize, status: u16, least: usize) {
     let house = House::open().await;
     house.ail(|a| a.reset = 1.0);
     let asking = house.ask_at(0, "s", product).await;
-    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    house.until("a set-up", |seen| set_ups(seen) == 1).await;
     // Only the first server is ill.
     let first = house.set_ups()[0];
     house.ail_all_but(first, |a| a.reset = 0.0);
     assert_eq!(asking.answer().await.status, status);
-    assert!(house.set_ups().len() >= set_ups, "{:?}", house.set_ups());
+    assert!(house.set_ups().len() >= least, "{:?}", house.set_ups());
     assert!(product == FREE || house.set_ups().len() == 1);
     house.kept();
 }
@@ -142,7 +138,7 @@
     let house = House::open().await;
     house.ail(|a| a.slow = 120.0);
     let asking = house.ask_at(0, "s", FREE).await;
-    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    house.until("a set-up", |seen| set_ups(seen) == 1).await;
     let first = house.set_ups()[0];
     house.ail_all_but(first, |a| a.slow = 1.0);
     assert_eq!(asking.answer().await.status, 200);
@@ -172,7 +168,7 @@
     let house = House::of(patient()).await;
     house.ail(|a| a.silent = true);
     let asking = house.ask_at(0, "s", FREE).await;
-    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    house.until("a set-up", |seen| set_ups(seen) == 1).await;
     asking.leave();
     house.until("the set-up is withdrawn", |seen| closed(seen) == 1).await;
     assert_eq!(house.ask("s", FREE).await.status, 410, "it has left");
@@ -185,7 +181,7 @@
     let house = House::of(patient()).await;
     house.ail(|a| a.slow = 40.0);
     let asking = house.ask_at(0, "s", FREE).await;
-    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    house.until("a set-up", |seen| set_ups(seen) == 1).await;
     asking.leave();
     assert_eq!(house.ask("s", FREE).await.status, 200);
     assert_eq!(house.set_ups().len(), 1);
@@ -334,7 +330,7 @@
     let house = House::open().await;
     house.ail(|a| a.silent = true);
     let asking = house.ask_at(0, "s", FREE).await;
-    house.until("a set-up", |seen| asked_for(seen) == 1).await;
+    house.until("a set-up", |seen| set_ups(seen) == 1).await;
     for server in 0..4 {
         house.stage.list(server, Listed::Draining { started: 0.0 });
     }
@@ -664,7 +660,7 @@
     let manifest = house.ask("s", FREE).await;
     house.ail(|a| a.slow = 60.0);
     let waiting = house.ask_at(0, "waits", FREE).await;
-    house.until("its set-up", |seen| asked_for(seen) == 2).await;
+    house.until("its set-up", |seen| set_ups(seen) == 2).await;
     signal(&house).await;
     says_that_it_stops(&house).await;
     assert_eq!(house.get(&house.manifest("new", FREE)).await.status, 503);
@@ -687,7 +683,7 @@
     let house = House::of(day.clone()).await;
     house.ail(|a| a.silent = true);
     let waiting = house.ask_at(0, "waits", FREE).await;
-    house.until("its set-up", |seen| asked_for(seen) == 1).await;
+    house.until("its set-up", |seen| set_ups(seen) == 1).await;
     signal(&house).await;
     assert_eq!(waiting.answer().await.status, 504);
     assert!(house.fronts.ended(0).await);
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -279,6 +279,25 @@
     }
 }
 
+/// How many set-ups servers have read.
+pub fn set_ups(seen: &[Seen]) -> usize {
+    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
+}
+
+/// That day with one server, which holds all, and short notes on it.
+pub fn one_server() -> Value {
+    let mut day = day();
+    day["fleet"]["servers"] = json!(1);
+    day["fleet"]["racks"] = json!(1);
+    day["fleet"]["notes_late_ms"] = json!(0);
+    day["fleet"]["notes_every_ms"] = json!(600);
+    for product in day["products"].as_array_mut().expect("there are products") {
+        product["holders"] = json!(1);
+        product["seconds"] = json!([60, 60]);
+    }
+    day
+}
+
 pub fn get(target: &str) -> String {
     format!("GET {target} HTTP/1.1\r\nHost: front\r\n\r\n")
 }
--- a/crates/edge/tests/sealed.rs
+++ b/crates/edge/tests/sealed.rs
@@ -3,12 +3,12 @@
 
 mod house;
 
-use house::{House, base, day, get, text};
+use house::{House, base, day, get, set_ups, text};
 use pulleystair_boxes::files::put;
 use pulleystair_boxes::papers::Authority;
 use pulleystair_boxes::wire::{Peer, Wire};
 use pulleystair_lab::fronts::FRONT;
-use pulleystair_witness::{Seen, What};
+use pulleystair_witness::What;
 use serde_json::{Value, json};
 use std::time::{Duration, SystemTime};
 use tokio::io::AsyncReadExt;
@@ -35,10 +35,6 @@
     seal.peer_certificates().expect("the front shows a certificate")[0].to_vec()
 }
 
-fn asked_for(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
-}
-
 #[tokio::test]
 async fn a_play_under_tls_on_both_sides() {
     let house = House::of(sealed()).await;
@@ -104,7 +100,7 @@
     }
     assert!([502, 503].contains(&house.ask("s", FREE).await.status));
     assert_eq!(house.ask("p", PAID).await.status, 502, "it may have run, for all the front knows");
-    assert_eq!(asked_for(&house.log.taken()), 0);
+    assert_eq!(set_ups(&house.log.taken()), 0);
 }
 
 #[tokio::test]
@@ -221,6 +217,6 @@
         };
         let answer = asked.await.ok().flatten().map(|answer| answer.status);
         assert_eq!(answer, good.then_some(200));
-        assert_eq!(asked_for(&house.log.taken()), usize::from(good), "strangers cost no allocation");
+        assert_eq!(set_ups(&house.log.taken()), usize::from(good), "strangers cost no allocation");
     }
 }
--- a/crates/edge/tests/shared.rs
+++ b/crates/edge/tests/shared.rs
@@ -3,7 +3,7 @@
 
 mod house;
 
-use house::{House, base, day, get};
+use house::{House, base, day, get, one_server};
 use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Peer;
 use pulleystair_dash::token::{Entry, Ring};
@@ -31,15 +31,12 @@
 
 #[tokio::test]
 async fn a_play_stepped_down_while_its_set_up_is_out_runs_on_that_rung() {
-    let mut day = day();
-    day["fleet"]["servers"] = json!(1);
-    day["fleet"]["racks"] = json!(1);
+    let mut day = one_server();
     day["fleet"]["link_kb"] = json!(450.0);
     day["fleet"]["notes_every_ms"] = json!(600_000);
     day["ladder"] = json!([{ "rate_kb": 10, "earns": 0.4 }, { "rate_kb": 200, "earns": 1 }]);
     day["products"][FREE]["importance"] = json!(0.1);
     for product in [FREE, PAID] {
-        day["products"][product]["holders"] = json!(1);
         day["products"][product]["time_limit_ms"] = json!(20_000);
         day["products"][product]["first_frame_target_ms"] = json!(10_000);
     }
@@ -62,18 +59,10 @@
 
 #[tokio::test]
 async fn the_last_of_several_steps_is_the_one_that_holds() {
-    let mut day = day();
-    day["fleet"]["servers"] = json!(1);
-    day["fleet"]["racks"] = json!(1);
-    day["fleet"]["notes_late_ms"] = json!(0);
-    day["fleet"]["notes_every_ms"] = json!(600);
+    let mut day = one_server();
     day["ladder"] = json!([
         { "rate_kb": 10, "earns": 0.4 }, { "rate_kb": 20, "earns": 0.8 }, { "rate_kb": 40, "earns": 1 },
     ]);
-    for product in [FREE, PAID] {
-        day["products"][product]["holders"] = json!(1);
-        day["products"][product]["seconds"] = json!([60, 60]);
-    }
     let house = House::of(day).await;
     assert_eq!(house.ask_top("s", FREE, 2).await.status, 200);
     // A link of 25 kB under a play of 40: it goes to 20, and its server is slow to do so.
@@ -94,16 +83,8 @@
 
 #[tokio::test]
 async fn a_step_whose_word_was_lost_is_told_again() {
-    let mut day = day();
-    day["fleet"]["servers"] = json!(1);
-    day["fleet"]["racks"] = json!(1);
-    day["fleet"]["notes_late_ms"] = json!(0);
-    day["fleet"]["notes_every_ms"] = json!(600);
+    let mut day = one_server();
     day["limits"] = json!({ "segment_ms": 300 });
-    for product in [FREE, PAID] {
-        day["products"][product]["holders"] = json!(1);
-        day["products"][product]["seconds"] = json!([60, 60]);
-    }
     let house = House::of(day).await;
     assert_eq!(house.ask_top("s", FREE, 1).await.status, 200);
     // Steps are read and not answered in time; the front gives up each word.
--- a/crates/edge/tests/stops.rs
+++ b/crates/edge/tests/stops.rs
@@ -3,7 +3,7 @@
 
 mod house;
 
-use house::{House, base, day, get, text};
+use house::{House, base, day, get, set_ups, text};
 use pulleystair_boxes::content;
 use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Peer;
@@ -18,10 +18,6 @@
 const FREE: usize = 0;
 const PAID: usize = 1;
 
-fn set_ups(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
-}
-
 fn done(seen: &[Seen]) -> usize {
     seen.iter().filter(|s| matches!(s.what, What::Done { .. })).count()
 }
