--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -1,15 +1,14 @@
 //! The instances of one process: decodes events into calls on their desks, encodes what the desks want done.
 
 use crate::frame::{Fields, Reply, records, us};
-use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing, Value};
+use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing};
 use pulleystair_desk::{Desk, Hands, Wish};
-use serde_json::Value as Json;
+use pulleystair_sheet::{Columns, call_sheet};
 use std::collections::BTreeMap;
 
 struct Instance {
     desk: Desk,
-    /// What the values of a load report are, in order.
-    columns: Vec<String>,
+    columns: Columns,
 }
 
 /// A line of a census, its server still by the wire's id.
@@ -101,61 +100,9 @@
     Ok((table, lines))
 }
 
-/// The settings as a plain map: paths joined by dots, in our words, times in ms.
-fn call_sheet(json: &[u8]) -> Result<CallSheet, String> {
-    let json: Json = serde_json::from_slice(json).map_err(|e| format!("its settings are no JSON: {e}"))?;
-    if !json.is_object() {
-        return Err("its settings are no JSON object".into());
-    }
-    let mut sheet = CallSheet::new();
-    flatten("", &json, &mut sheet);
-    Ok(sheet)
-}
-
-fn flatten(path: &str, json: &Json, sheet: &mut CallSheet) {
-    let join = |part: &str| if path.is_empty() { part.to_string() } else { format!("{path}.{part}") };
-    let value = match json {
-        Json::Object(parts) => return parts.iter().for_each(|(k, v)| flatten(&join(&our_word(k)), v, sheet)),
-        Json::Array(parts) => {
-            return parts.iter().enumerate().for_each(|(i, v)| flatten(&join(&i.to_string()), v, sheet));
-        }
-        Json::Null => return,
-        Json::Bool(b) => Value::Number(f64::from(u8::from(*b))),
-        Json::Number(n) => Value::Number(n.as_f64().unwrap_or(0.0)),
-        Json::String(s) => Value::Text(s.clone()),
-    };
-    let (path, value) = match (path.strip_suffix("_us"), value) {
-        (Some(short), Value::Number(n)) => (short, Value::Number(n / 1000.0)),
-        (_, value) => (path, value),
-    };
-    sheet.insert(path.to_string(), value);
-}
-
-fn our_word(name: &str) -> String {
-    match name {
-        "lanes" => return "products".into(),
-        "aimUs" => return "first_frame_target_us".into(),
-        "giveUpUs" => return "time_limit_us".into(),
-        "worth" => return "importance".into(),
-        _ => {}
-    }
-    let mut out = String::new();
-    for c in name.chars() {
-        if c.is_ascii_uppercase() {
-            out.push('_');
-        }
-        out.push(c.to_ascii_lowercase());
-    }
-    out
-}
-
 impl Instance {
     fn new(sheet: CallSheet, salt: u64) -> Instance {
-        let column = |i: usize| match sheet.get(&format!("load_info.columns.{i}")) {
-            Some(Value::Text(t)) => Some(t.clone()),
-            _ => None,
-        };
-        Instance { columns: (0..).map_while(column).collect(), desk: Desk::new(sheet, salt) }
+        Instance { columns: Columns::of(&sheet), desk: Desk::new(sheet, salt) }
     }
 
     fn event(
@@ -222,7 +169,7 @@
                 f.u8()?;
                 let server = f.u32()?;
                 f.ms()?;
-                let load = self.load(&f.numbers()?);
+                let load = self.columns.figures(&f.numbers()?);
                 self.desk.ended(now, id, server, outcome, closed, &load, hands);
             }
             21 => self.desk.left(f.u64()?, hands),
@@ -231,7 +178,7 @@
                 f.ms()?;
                 f.u16()?;
                 let server = f.u32()?;
-                let load = self.load(&f.numbers()?);
+                let load = self.columns.figures(&f.numbers()?);
                 self.desk.report(now, server, &load, hands);
             }
             27 => {
@@ -258,18 +205,6 @@
         }
         sells
     }
-
-    /// The figures of a load report, by the names of its columns.
-    fn load(&self, stats: &[f64]) -> Vec<Figure> {
-        let figure = |(column, value): (&String, &f64)| match column.as_str() {
-            "x0" => Some(Figure::Link(*value)),
-            "utilization" => Some(Figure::LinkCapped(*value)),
-            "x1" => Some(Figure::Uplink(*value)),
-            "outstanding" => Some(Figure::Streams(*value)),
-            _ => None,
-        };
-        self.columns.iter().zip(stats).filter_map(figure).collect()
-    }
 }
 
 /// Writes what an instance's desk wants done as records of the reply.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -22,6 +22,7 @@
 use pulleystair_admission::reads::Fault;
 use pulleystair_admission::wall::Wall;
 use pulleystair_desk::Desk;
+use pulleystair_lines::Owner;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::TcpListener;
@@ -114,6 +115,20 @@
     Ok(())
 }
 
+impl Owner for Edge {
+    fn line_ready(&mut self, key: Key) {
+        let now = self.floor.now();
+        self.floor.lag.works(now);
+        let Some(line) = self.floor.lines.get(key) else { return };
+        match &line.role {
+            Role::Player(_) => self.player(key),
+            Role::Allocation { .. } => self.allocation(key),
+            Role::Errands { .. } => self.errand(key),
+        }
+        self.settle();
+    }
+}
+
 impl Edge {
     fn new(
         rundown: Rundown,
@@ -189,18 +204,6 @@
         Ok(edge)
     }
 
-    pub(crate) fn line_ready(&mut self, key: Key) {
-        let now = self.floor.now();
-        self.floor.lag.works(now);
-        let Some(line) = self.floor.lines.get(key) else { return };
-        match &line.role {
-            Role::Player(_) => self.player(key),
-            Role::Allocation { .. } => self.allocation(key),
-            Role::Errands { .. } => self.errand(key),
-        }
-        self.settle();
-    }
-
     /// Tells the desk what was found while it was busy.
     pub(crate) fn settle(&mut self) {
         loop {
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -148,7 +148,7 @@
 
     pub(crate) fn done(&self) -> bool {
         let idle = self.book.deciding() + self.book.playing() == 0 && self.errands_out == 0;
-        self.halted || self.stopping && idle && !self.lines.answers_wait()
+        self.halted || self.stopping && idle && !self.lines.waits(|role| matches!(role, Role::Player(_)))
     }
 
     pub(crate) fn name(&self, server: u32) -> &str {
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -1,10 +1,12 @@
 //! `pulleystair-edge`: runs a front, or checks and shows the rundown it would run by.
 
+use anyhow::Context;
 use clap::{Parser, Subcommand, ValueEnum};
 use pulleystair_edge::edge::{self, read_list, stop_signals};
 use pulleystair_edge::rundown::Rundown;
+use pulleystair_node::Posting;
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -39,6 +41,8 @@
 enum Job {
     /// Run a front by this rundown until SIGTERM
     Run { rundown: PathBuf },
+    /// Run a front on the platform's protocol, by the posting that PROXY_CONFIG names, until SIGTERM
+    Node,
     /// Check a rundown and its list of servers, and say what is wrong
     Check { rundown: PathBuf },
     /// Show a rundown with its defaults filled in, as JSON
@@ -65,6 +69,10 @@
     let (_guard, dropped) = logs(&command)?;
     match command.job {
         Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop, dropped),
+        Job::Node => {
+            let path = std::env::var_os("PROXY_CONFIG").context("PROXY_CONFIG names no file")?;
+            pulleystair_node::run(Posting::read(Path::new(&path))?, stop)
+        }
         Job::Check { rundown } => {
             let it = Rundown::read(&rundown)?;
             let list = read_list(&it)?;
--- /dev/null
+++ b/crates/lines/src/lib.rs
@@ -0,0 +1,325 @@
+//! The connections of a front, each a non-blocking socket with its buffers, on the event loop. What a line is for is
+//! its owner's affair, kept beside it as a role; what happens on it is told to the owner, by [`Owner::line_ready`].
+//!
+//! A line may be sealed by TLS. Then it counts as connected only once the handshake is done, so nothing of a request
+//! has gone to a server whose handshake failed; and what waits in the seal counts as waiting to be written.
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustls::Connection as Seal;
+use slab::Slab;
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, Shutdown, TcpStream};
+use std::rc::Rc;
+
+/// A line by its place and, in the upper half, its generation: the key of a closed one is never used again.
+pub type Key = u64;
+
+const READ: usize = 16 << 10;
+/// Bytes that are handed to a seal at a time.
+const SEALED: usize = 64 << 10;
+
+pub struct Line<R> {
+    stream: Rc<TcpStream>,
+    seal: Option<Box<Seal>>,
+    /// Why the handshake, or what came under the seal, was not taken.
+    pub unsealed: Option<rustls::Error>,
+    source: RegistrationToken,
+    pub role: R,
+    pub keep_alive: bool,
+    /// The answer's head is wanted without its body.
+    pub bare: bool,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    sent: usize,
+    /// Bytes that were ever given to be written, and those that the socket has taken; of a sealed line, its seal.
+    given: u64,
+    gone: u64,
+    /// When its clock runs out; infinite for no clock.
+    pub due: f64,
+    /// The peer has closed its side, or the connection is broken.
+    pub ended: bool,
+    shut: bool,
+    connected: bool,
+    shaken: bool,
+}
+
+impl<R> Line<R> {
+    /// Reads what is there until `input` holds `most` bytes; true if anything came.
+    pub fn read(&mut self, most: usize) -> bool {
+        let before = self.input.len();
+        let mut part = [0; READ];
+        while !self.ended && self.input.len() < most {
+            let room = (most - self.input.len()).min(READ);
+            let came = match self.seal.as_mut() {
+                Some(seal) => match unseal(seal, &self.stream, &mut part[..room], &mut self.unsealed) {
+                    // A seal that was broken tells the peer why, if that can still go out.
+                    Err(e) if self.unsealed.is_some() => {
+                        let _ = seal.write_tls(&mut &*self.stream);
+                        Err(e)
+                    }
+                    came => came,
+                },
+                None => (&*self.stream).read(&mut part[..room]),
+            };
+            match came {
+                Ok(0) => self.ended = true,
+                Ok(n) => self.input.extend_from_slice(&part[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.ended = true,
+            }
+        }
+        self.input.len() > before
+    }
+
+    /// Whose connection it is.
+    pub fn from(&self) -> Option<IpAddr> {
+        self.stream.peer_addr().ok().map(|at| at.ip())
+    }
+
+    /// Bytes that were ever given to be written: where the next message will start.
+    pub fn given(&self) -> u64 {
+        self.given
+    }
+
+    /// Bytes that the socket has taken, of all that were given: what was given before may have been read.
+    pub fn gone(&self) -> u64 {
+        self.gone
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.given += bytes.len() as u64;
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait to be written.
+    pub fn pending(&self) -> usize {
+        let sealed = self.seal.as_ref().is_some_and(|seal| seal.wants_write());
+        self.output.len() - self.sent + usize::from(sealed)
+    }
+
+    /// Writes what the socket takes; true if anything went.
+    pub fn flush(&mut self) -> bool {
+        let mut went = false;
+        while self.pending() > 0 {
+            let left = &self.output[self.sent..];
+            let wrote = match self.seal.as_mut() {
+                Some(seal) if seal.wants_write() => seal.write_tls(&mut &*self.stream).map(|n| (n, 0)),
+                Some(seal) if seal.is_handshaking() => break,
+                Some(seal) => seal.writer().write(&left[..left.len().min(SEALED)]).map(|n| (n, n)),
+                None => (&*self.stream).write(left).map(|n| (n, n)),
+            };
+            match wrote {
+                Ok((0, _)) => break,
+                // What the socket has taken may be read and acted on: whatever becomes of the connection, it was there.
+                Ok((_, taken)) => {
+                    (self.sent, went, self.connected) = (self.sent + taken, true, true);
+                    self.gone += taken as u64;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // Not connected yet, or full.
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    break;
+                }
+                Err(_) => {
+                    self.ended = true;
+                    break;
+                }
+            }
+        }
+        if self.sent == self.output.len() {
+            self.output.clear();
+            self.sent = 0;
+        } else if self.sent > 1 << 20 {
+            self.output.drain(..self.sent);
+            self.sent = 0;
+        }
+        went
+    }
+
+    /// Says that nothing more comes from here; the peer's end is waited for, so that it reads the answer.
+    pub fn shut(&mut self) {
+        if !self.shut {
+            self.shut = true;
+            if let Some(seal) = self.seal.as_mut() {
+                seal.send_close_notify();
+                self.flush();
+            }
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    /// Whether the connection could be made, its seal included; none while it is under way.
+    pub fn connected(&mut self) -> Option<bool> {
+        if !self.connected {
+            match self.stream.take_error() {
+                Ok(None) => self.connected = self.stream.peer_addr().is_ok(),
+                _ => return Some(false),
+            }
+        }
+        if self.connected && self.shakes_hands() {
+            self.flush();
+            self.read(READ);
+            self.flush();
+            if self.shakes_hands() {
+                return self.ended.then_some(false);
+            }
+        }
+        self.connected.then_some(true)
+    }
+
+    fn shakes_hands(&self) -> bool {
+        self.seal.as_ref().is_some_and(|seal| seal.is_handshaking())
+    }
+
+    /// True once: when the handshake of a sealed line is found to be done.
+    pub fn has_shaken_hands(&mut self) -> bool {
+        let done = !self.shaken && self.seal.is_some() && !self.shakes_hands();
+        self.shaken |= done;
+        done
+    }
+}
+
+/// Reads what came under a seal, as from a stream.
+fn unseal(
+    seal: &mut Seal,
+    stream: &TcpStream,
+    part: &mut [u8],
+    unsealed: &mut Option<rustls::Error>,
+) -> io::Result<usize> {
+    loop {
+        match seal.reader().read(part) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+        if !seal.wants_read() {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        let ended = seal.read_tls(&mut &*stream)? == 0;
+        if let Err(e) = seal.process_new_packets() {
+            *unsealed = Some(e);
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        if ended && seal.is_handshaking() {
+            return Ok(0);
+        }
+        // What a handshake asks for, and what ends it, goes out at once; what does not waits for the line's turn.
+        if seal.wants_write() {
+            let _ = seal.write_tls(&mut &*stream);
+        }
+    }
+}
+
+/// Whoever runs the loop that the lines are on.
+pub trait Owner: 'static {
+    /// Something may be read from this line or written to it, or it has ended.
+    fn line_ready(&mut self, key: Key);
+}
+
+pub struct Lines<O: Owner, R> {
+    lines: Slab<(u32, Line<R>)>,
+    generation: u32,
+    handle: LoopHandle<'static, O>,
+}
+
+impl<O: Owner, R> Lines<O, R> {
+    pub fn new(handle: LoopHandle<'static, O>) -> Lines<O, R> {
+        Lines { lines: Slab::new(), generation: 0, handle }
+    }
+
+    pub fn open(&mut self, stream: TcpStream, seal: Option<Seal>, role: R) -> io::Result<Key> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        self.generation = self.generation.wrapping_add(1);
+        let entry = self.lines.vacant_entry();
+        let key = entry.key() as u64 | u64::from(self.generation) << 32;
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let source = self
+            .handle
+            .insert_source(source, move |_, _, owner| {
+                owner.line_ready(key);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.error))?;
+        let line = Line {
+            stream,
+            seal: seal.map(Box::new),
+            unsealed: None,
+            source,
+            role,
+            keep_alive: true,
+            bare: false,
+            input: Vec::new(),
+            output: Vec::new(),
+            sent: 0,
+            given: 0,
+            gone: 0,
+            due: f64::INFINITY,
+            ended: false,
+            shut: false,
+            connected: false,
+            shaken: false,
+        };
+        entry.insert((self.generation, line));
+        Ok(key)
+    }
+
+    pub fn get(&mut self, key: Key) -> Option<&mut Line<R>> {
+        let (generation, line) = self.lines.get_mut(key as u32 as usize)?;
+        (*generation == (key >> 32) as u32).then_some(line)
+    }
+
+    /// Whether a line of such a role has still bytes that wait to be written.
+    pub fn waits(&self, of: impl Fn(&R) -> bool) -> bool {
+        self.lines.iter().any(|(_, (_, line))| of(&line.role) && line.pending() > 0)
+    }
+
+    /// How many lines are open.
+    pub fn count(&self) -> usize {
+        self.lines.len()
+    }
+
+    pub fn close(&mut self, key: Key) -> Option<R> {
+        self.get(key)?;
+        let (_, line) = self.lines.remove(key as u32 as usize);
+        self.handle.remove(line.source);
+        Some(line.role)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use calloop::EventLoop;
+    use std::net::TcpListener;
+
+    struct Nobody;
+
+    impl Owner for Nobody {
+        fn line_ready(&mut self, _: Key) {}
+    }
+
+    /// The loop was busy: the server read the set-up, ran it and reset the connection before this front looked. Taken
+    /// for a server that was never reached, a paid set-up would be sent a second time.
+    #[test]
+    fn a_server_that_read_the_request_and_reset_was_reached() {
+        let event_loop = EventLoop::<'static, Nobody>::try_new().expect("a loop");
+        let mut lines = Lines::new(event_loop.handle());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
+        let key = lines.open(stream, None, ()).expect("a line");
+        let line = lines.get(key).expect("it is open");
+        line.write(b"POST");
+        assert!(line.flush());
+        let (mut server, _) = listener.accept().expect("the server takes it");
+        server.read_exact(&mut [0; 4]).expect("and reads it");
+        socket2::SockRef::from(&server).set_linger(Some(std::time::Duration::ZERO)).expect("to be reset");
+        drop(server);
+        while line.stream.peer_addr().is_ok() {
+            std::thread::yield_now();
+        }
+        assert_eq!(line.connected(), Some(true));
+    }
+}
--- /dev/null
+++ b/crates/names/src/lib.rs
@@ -0,0 +1,181 @@
+//! The list of media servers: the events known at the start of a front, from JSON, and what the name service answers since,
+//! from DNS messages. No I/O; called by the node.
+
+use pulleystair::Standing;
+use serde::Deserialize;
+use simple_dns::rdata::RData;
+use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, RCODE, TYPE};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use thiserror::Error;
+
+/// What the list is asked for under.
+const SERVICE: &str = "_app._tcp.cluster.lan";
+/// Bytes of an answer at most.
+pub const MOST: usize = 8 << 10;
+/// The priority that says that a server drains.
+const DRAINING: u16 = 1;
+/// A record's weight for one of the list.
+const WEIGHT: f64 = 10.0;
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub cell: usize,
+    pub standing: Standing,
+    pub weight: f64,
+    /// The Unix millisecond of a late start, or 0.
+    pub started: f64,
+}
+
+/// The events of the start, in the order in which they came.
+#[derive(Debug, Deserialize)]
+pub struct Known {
+    pub rev: u32,
+    pub notices: Vec<Notice>,
+}
+
+/// One of them: the list, whole or what changed of it.
+#[derive(Debug, Deserialize)]
+pub struct Notice {
+    pub rev: u32,
+    pool: Pool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Pool {
+    #[serde(default)]
+    full: bool,
+    servers: Vec<Told>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Told {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: usize,
+    state: State,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+impl Notice {
+    /// Whether it holds the whole list, and its lines.
+    pub fn lines(&self) -> (bool, Vec<Entry>) {
+        let entry = |told: &Told| Entry {
+            id: told.id.clone(),
+            address: told.addr,
+            zone: told.zone.clone(),
+            kind: told.kind.clone(),
+            cell: told.cell,
+            standing: match told.state {
+                State::InService => Standing::Ready,
+                State::Terminating => Standing::Draining,
+                State::Terminated => Standing::Gone,
+            },
+            weight: told.weight,
+            started: told.started_ms,
+        };
+        (self.pool.full, self.pool.servers.iter().map(entry).collect())
+    }
+}
+
+/// Why an answer of the name service was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    #[error("it can't be read: {0}")]
+    Unread(String),
+    #[error("it is no answer to what was asked")]
+    Foreign,
+    #[error("it was cut short")]
+    Cut,
+    #[error("the name service reports a failure: {0}")]
+    Failing(String),
+    #[error("it has no serial")]
+    NoSerial,
+    #[error("{0} has no address, or not what is to be known of it")]
+    Incomplete(String),
+}
+
+/// The question for the whole list, under an id that its answer is to have.
+pub fn question(id: u16) -> Vec<u8> {
+    let mut packet = Packet::new_query(id);
+    let name = Name::new_unchecked(SERVICE);
+    packet.questions.push(Question::new(name, QTYPE::TYPE(TYPE::SRV), QCLASS::CLASS(CLASS::IN), false));
+    packet.build_bytes_vec().unwrap_or_default()
+}
+
+/// The id of an answer, which says whose it is.
+pub fn id_of(bytes: &[u8]) -> Option<u16> {
+    bytes.first_chunk::<2>().map(|id| u16::from_be_bytes(*id))
+}
+
+/// The number of the last event that an answer holds, and the whole list.
+pub fn answer(bytes: &[u8]) -> Result<(u32, Vec<Entry>), Fault> {
+    let packet = Packet::parse(bytes).map_err(|e| Fault::Unread(e.to_string()))?;
+    if !packet.has_flags(PacketFlag::RESPONSE) {
+        return Err(Fault::Foreign);
+    }
+    if packet.has_flags(PacketFlag::TRUNCATION) {
+        return Err(Fault::Cut);
+    }
+    if packet.rcode() != RCODE::NoError {
+        return Err(Fault::Failing(format!("{:?}", packet.rcode())));
+    }
+    let serial = packet
+        .name_servers
+        .iter()
+        .find_map(|r| if let RData::SOA(soa) = &r.rdata { Some(soa.serial) } else { None });
+    let serial = serial.ok_or(Fault::NoSerial)?;
+    let mut addresses = HashMap::new();
+    let mut texts = HashMap::new();
+    for record in packet.answers.iter().chain(&packet.additional_records) {
+        match &record.rdata {
+            RData::A(a) => drop(addresses.insert(record.name.to_string(), Ipv4Addr::from(a.address))),
+            RData::TXT(text) => drop(texts.insert(record.name.to_string(), text.attributes())),
+            _ => {}
+        }
+    }
+    let mut list = Vec::new();
+    for record in &packet.answers {
+        let RData::SRV(srv) = &record.rdata else { continue };
+        let target = srv.target.to_string();
+        let incomplete = || Fault::Incomplete(target.clone());
+        let address = addresses.get(&target).ok_or_else(incomplete)?;
+        let text = texts.get(&target).ok_or_else(incomplete)?;
+        let told = |name: &str| text.get(name).and_then(|v| v.as_deref()).ok_or_else(incomplete);
+        let mut labels = target.split('.');
+        let (Some(id), Some(zone)) = (labels.next(), labels.next()) else { return Err(incomplete()) };
+        let started: f64 = told("started")?.parse().map_err(|_| incomplete())?;
+        list.push(Entry {
+            id: id.to_string(),
+            address: SocketAddr::V4(SocketAddrV4::new(*address, srv.port)),
+            zone: zone.to_string(),
+            kind: told("kind")?.to_string(),
+            cell: told("cell")?.parse().map_err(|_| incomplete())?,
+            standing: if srv.priority == DRAINING { Standing::Draining } else { Standing::Ready },
+            weight: f64::from(srv.weight) / WEIGHT,
+            started: if started.is_finite() { started } else { 0.0 },
+        });
+    }
+    Ok((serial, list))
+}
--- /dev/null
+++ b/crates/node/src/floor.rs
@@ -0,0 +1,558 @@
+//! What the desk's hands work with: the lines, the sessions that viewers asked for, the media servers, and the clocks.
+
+use crate::node::Node;
+use crate::posting::{Posting, Terms};
+use crate::shares::Shares;
+use calloop::{LoopHandle, RegistrationToken};
+use pulleystair::{Listing, Outcome};
+use pulleystair_desk::Hands;
+use pulleystair_lines::Key;
+use pulleystair_rtsp as rtsp;
+use pulleystair_signal::{self as signal, code, kind};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::debug;
+
+pub(crate) type Lines = pulleystair_lines::Lines<Node, Role>;
+
+/// Causes that viewers are given: refused, trying again is harmless; failed; the session is over.
+pub(crate) const REFUSED: u8 = 34;
+pub(crate) const BUSY: u8 = 42;
+pub(crate) const FAILED: u8 = 41;
+pub(crate) const UNUSABLE: u8 = 100;
+/// Causes on the way to servers and back.
+pub(crate) const ENDED: u8 = 16;
+pub(crate) const WITHDRAWN: u8 = 31;
+/// `CSeq` of each request to a server.
+const SET_UP: u32 = 1;
+const GIVE_UP: u32 = 2;
+const ASK: u32 = 3;
+const OTHER: u32 = 4;
+/// Bytes that may wait for a viewer that does not read them.
+const UNREAD: usize = 256 << 10;
+/// How long a release waits for a viewer's connection, ms.
+const OWED: f64 = 8_000.0;
+/// Releases that may wait, and set-ups that may be open at once.
+const OWED_MOST: usize = 4_096;
+
+pub(crate) enum Role {
+    Viewer(Viewer),
+    Server(Wire),
+}
+
+/// A viewer's connection.
+pub(crate) struct Viewer {
+    pub(crate) came: f64,
+    /// A set-up that could be taken has come on it.
+    pub(crate) proven: bool,
+    /// Set-ups on it that have no answer yet.
+    pub(crate) open: Vec<u64>,
+    /// Turned away on it, for whatever cause.
+    pub(crate) turned: usize,
+    /// Closed once all is written.
+    pub(crate) leaving: bool,
+}
+
+/// A connection to a media server.
+pub(crate) struct Wire {
+    pub(crate) server: u32,
+    /// Set-ups on it that have no answer yet, with where each begins among all bytes of the line.
+    pub(crate) open: Vec<(u64, u64)>,
+    pub(crate) up: bool,
+    /// When something last came on it.
+    pub(crate) heard: f64,
+    /// No further set-ups: it brought no answer to one while it was silent.
+    pub(crate) tired: bool,
+}
+
+/// A play as the sockets have it.
+pub(crate) struct Session {
+    pub(crate) viewer: Key,
+    pub(crate) from: Option<IpAddr>,
+    pub(crate) class: String,
+    pub(crate) title: String,
+    pub(crate) description: Vec<u8>,
+    /// Where it is out or plays, and on which line.
+    pub(crate) server: Option<u32>,
+    pub(crate) line: Option<Key>,
+    pub(crate) playing: bool,
+    pub(crate) since: f64,
+    pub(crate) allocations: u32,
+    /// Lines on which an earlier allocation was given up: what still comes there is not for a later one.
+    pub(crate) used: Vec<Key>,
+    pub(crate) rung: usize,
+    pub(crate) rung_sent: usize,
+    /// The cause with which its viewer ended it.
+    pub(crate) cause: u8,
+}
+
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) id: String,
+    /// None while no list has told of it.
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) listing: Listing,
+    pub(crate) lines: Vec<Key>,
+    pub(crate) playing: usize,
+    pub(crate) heard: f64,
+    /// How many connections in a row could not be made while plays stand there.
+    pub(crate) lost: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Clock {
+    Desk(u32),
+    /// This allocation of a play has had its time.
+    TimeOut(u64, u32),
+    Line(Key),
+    Ask,
+    Look,
+    Sums,
+    Stop,
+}
+
+/// What was found while the desk was busy: how an allocation ended.
+pub(crate) struct News {
+    pub(crate) play: u64,
+    pub(crate) server: u32,
+    pub(crate) outcome: Outcome,
+}
+
+/// What was done since the start, for the log.
+#[derive(Default, Debug)]
+pub(crate) struct Sums {
+    pub(crate) asked: u64,
+    pub(crate) played: u64,
+    pub(crate) declined: u64,
+    pub(crate) failed: u64,
+    pub(crate) unusable: u64,
+    pub(crate) flooded: u64,
+    pub(crate) sent: u64,
+    pub(crate) ended: u64,
+    pub(crate) lost: u64,
+    pub(crate) probes: u64,
+    pub(crate) late: u64,
+    pub(crate) spoilt: u64,
+    pub(crate) evicted: u64,
+    pub(crate) steps: u64,
+}
+
+pub(crate) struct Floor {
+    pub(crate) posting: Posting,
+    pub(crate) terms: Terms,
+    pub(crate) shares: Shares,
+    pub(crate) lines: Lines,
+    pub(crate) handle: LoopHandle<'static, Node>,
+    pub(crate) door: Option<RegistrationToken>,
+    pub(crate) sessions: HashMap<u64, Session>,
+    pub(crate) servers: HashMap<u32, Server>,
+    pub(crate) numbers: HashMap<String, u32>,
+    pub(crate) next_server: u32,
+    pub(crate) clocks: BinaryHeap<Reverse<(u64, Clock)>>,
+    pub(crate) news: VecDeque<News>,
+    /// Lines that have more to read than one turn takes.
+    pub(crate) again: VecDeque<Key>,
+    /// Viewers' lines in the order in which they came.
+    pub(crate) viewers: VecDeque<Key>,
+    pub(crate) viewers_open: usize,
+    pub(crate) wires_open: usize,
+    /// Releases that found no connection: session, whose, cause, since when.
+    pub(crate) owed: VecDeque<(u64, Option<IpAddr>, u8, f64)>,
+    /// Set-ups without an answer.
+    pub(crate) deciding: usize,
+    pub(crate) rnd: oorandom::Rand64,
+    pub(crate) started: (Instant, f64),
+    pub(crate) sums: Sums,
+    pub(crate) stopping: Option<f64>,
+}
+
+impl Floor {
+    pub(crate) fn new(posting: Posting, handle: LoopHandle<'static, Node>) -> Floor {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        Floor {
+            terms: posting.terms(),
+            shares: Shares::of(posting.limits.sockets),
+            rnd: oorandom::Rand64::new(posting.salt.into()),
+            posting,
+            lines: Lines::new(handle.clone()),
+            handle,
+            door: None,
+            sessions: HashMap::new(),
+            servers: HashMap::new(),
+            numbers: HashMap::new(),
+            next_server: 0,
+            clocks: BinaryHeap::new(),
+            news: VecDeque::new(),
+            again: VecDeque::new(),
+            viewers: VecDeque::new(),
+            viewers_open: 0,
+            wires_open: 0,
+            owed: VecDeque::new(),
+            deciding: 0,
+            started: (Instant::now(), unix),
+            sums: Sums::default(),
+            stopping: None,
+        }
+    }
+
+    /// Unix ms, from one reading of the wall clock at start.
+    pub(crate) fn now(&self) -> f64 {
+        self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub(crate) fn clock(&mut self, due: f64, clock: Clock) {
+        self.clocks.push(Reverse(((due * 1000.0).max(0.0) as u64, clock)));
+    }
+
+    pub(crate) fn next_clock(&self) -> Option<Duration> {
+        if !self.again.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let due = self.clocks.peek()?.0.0 as f64 / 1000.0;
+        Some(Duration::from_secs_f64(((due - self.now()) / 1000.0).max(0.0)))
+    }
+
+    // ---- towards viewers ----
+
+    /// Writes on a viewer's line; one that does not read is closed.
+    pub(crate) fn write_viewer(&mut self, key: Key, bytes: &[u8]) -> bool {
+        let Some(line) = self.lines.get(key) else { return false };
+        line.write(bytes);
+        line.flush();
+        if line.ended || line.pending() > UNREAD {
+            line.ended = true;
+            self.again.push_back(key);
+        }
+        true
+    }
+
+    /// The final answer of a play that does not run.
+    pub(crate) fn turn_away(&mut self, play: u64, cause: u8, pause: f64) {
+        let Some(session) = self.sessions.remove(&play) else { return };
+        self.answered(session.viewer, play);
+        self.refuse(session.viewer, play, cause, pause);
+    }
+
+    /// A refusal or failure under an id, whether it was taken or not.
+    pub(crate) fn refuse(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
+        let pause = format!("{}", pause.ceil().max(0.0));
+        let mut parameters: Vec<(u8, &[u8])> = vec![(code::CAUSE, std::slice::from_ref(&cause))];
+        if pause != "0" {
+            parameters.push((code::STAY_AWAY, pause.as_bytes()));
+        }
+        if let Some(bytes) = signal::write(kind::RELEASE, play, &parameters) {
+            self.write_viewer(key, &bytes);
+        }
+    }
+
+    /// A set-up has its answer, or needs none any more.
+    pub(crate) fn answered(&mut self, key: Key, play: u64) {
+        self.deciding = self.deciding.saturating_sub(1);
+        if let Some(Role::Viewer(viewer)) = self.lines.get(key).map(|line| &mut line.role) {
+            viewer.open.retain(|p| *p != play);
+        }
+    }
+
+    /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
+    pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
+        let Some(bytes) = signal::write(kind::RELEASE, play, &[(code::CAUSE, &[cause])]) else { return };
+        let key = match self.lines.get(viewer) {
+            Some(line) if !line.ended => Some(viewer),
+            _ => self.way_to(from),
+        };
+        match key {
+            Some(key) => drop(self.write_viewer(key, &bytes)),
+            None if self.owed.len() < OWED_MOST => {
+                let now = self.now();
+                self.owed.push_back((play, from, cause, now));
+            }
+            None => {}
+        }
+    }
+
+    /// The latest connection on which a viewer of that address has asked for something, else of any.
+    fn way_to(&mut self, from: Option<IpAddr>) -> Option<Key> {
+        let mut other = None;
+        for key in self.viewers.iter().rev() {
+            let Some(line) = self.lines.get(*key) else { continue };
+            let Role::Viewer(viewer) = &line.role else { continue };
+            if line.ended || !viewer.proven || viewer.leaving {
+                continue;
+            }
+            if line.from() == from {
+                return Some(*key);
+            }
+            other.get_or_insert(*key);
+        }
+        other
+    }
+
+    /// A viewer's connection has proven to be one: what is owed goes out on it.
+    pub(crate) fn pay(&mut self, key: Key) {
+        let now = self.now();
+        while let Some((play, _, cause, since)) = self.owed.pop_front() {
+            if now - since < OWED {
+                let Some(bytes) = signal::write(kind::RELEASE, play, &[(code::CAUSE, &[cause])]) else {
+                    continue;
+                };
+                self.write_viewer(key, &bytes);
+            }
+        }
+    }
+
+    // ---- towards servers ----
+
+    pub(crate) fn id_of(&self, server: u32) -> &str {
+        self.servers.get(&server).map_or("?", |s| s.id.as_str())
+    }
+
+    /// The number of a server by its id, a new one for a new id.
+    pub(crate) fn number(&mut self, id: &str) -> u32 {
+        if let Some(number) = self.numbers.get(id) {
+            return *number;
+        }
+        let number = self.next_server;
+        self.next_server = self.next_server.wrapping_add(1);
+        self.numbers.insert(id.to_string(), number);
+        self.servers.insert(number, Server { id: id.to_string(), ..Server::default() });
+        number
+    }
+
+    /// A new connection to a server that is listed.
+    pub(crate) fn dial(&mut self, number: u32) -> Option<Key> {
+        let server = self.servers.get(&number)?;
+        let address = server.address?;
+        if server.listing.standing == pulleystair::Standing::Gone {
+            return None;
+        }
+        let stream =
+            connect(address).inspect_err(|e| debug!(target: "server", id = server.id, "dial: {e}")).ok()?;
+        let now = self.now();
+        let wire = Wire { server: number, open: Vec::new(), up: false, heard: now, tired: false };
+        let key = self.lines.open(stream, None, Role::Server(wire)).ok()?;
+        self.wires_open += 1;
+        self.servers.get_mut(&number)?.lines.push(key);
+        let due = now + self.terms.dial;
+        if let Some(line) = self.lines.get(key) {
+            line.due = due;
+        }
+        self.clock(due, Clock::Line(key));
+        Some(key)
+    }
+
+    /// Lines that a server may have: its part of those that there may be.
+    fn lines_each(&self) -> usize {
+        let listed = self.servers.values().filter(|s| !s.lines.is_empty()).count().max(8);
+        (self.shares.servers / listed).clamp(1, 8)
+    }
+
+    /// A line to set a play up on: one that carries none, else a new one, else the one that carries least.
+    fn line_for(&mut self, number: u32, not: &[Key]) -> Option<Key> {
+        let keys = self.servers.get(&number)?.lines.clone();
+        let mut best: Option<(bool, usize, Key)> = None;
+        for key in &keys {
+            let Some(line) = self.lines.get(*key) else { continue };
+            let Role::Server(wire) = &line.role else { continue };
+            if wire.tired || line.ended || not.contains(key) || wire.open.len() >= self.terms.streams {
+                continue;
+            }
+            let it = (!wire.up, wire.open.len(), *key);
+            if best.is_none_or(|b| (it.1, it.0) < (b.1, b.0)) {
+                best = Some(it);
+            }
+        }
+        let may_dial = keys.len() < self.lines_each() && self.wires_open < self.shares.servers;
+        match best {
+            Some((_, 0, key)) => Some(key),
+            _ if may_dial => self.dial(number),
+            Some((_, _, key)) => Some(key),
+            // All its lines are of no use: one that carries nothing makes room.
+            None => {
+                let idle = keys.iter().copied().find(|key| match self.lines.get(*key).map(|l| &l.role) {
+                    Some(Role::Server(wire)) => wire.open.is_empty(),
+                    _ => false,
+                });
+                if let Some(key) = idle {
+                    self.drop_wire(key);
+                }
+                self.dial(number)
+            }
+        }
+    }
+
+    /// A line on which a server hears of its standing sessions.
+    pub(crate) fn any_line(&mut self, number: u32) -> Option<Key> {
+        let keys = self.servers.get(&number)?.lines.clone();
+        let usable = keys.into_iter().find(|key| {
+            self.lines
+                .get(*key)
+                .is_some_and(|line| !line.ended && matches!(&line.role, Role::Server(wire) if !wire.tired))
+        });
+        usable.or_else(|| self.dial(number))
+    }
+
+    pub(crate) fn write_wire(&mut self, key: Key, bytes: &[u8]) {
+        let Some(line) = self.lines.get(key) else { return };
+        line.write(bytes);
+        line.flush();
+        if line.ended {
+            self.again.push_back(key);
+        }
+    }
+
+    /// Takes a line to a server out of use; nothing is to be open on it.
+    pub(crate) fn drop_wire(&mut self, key: Key) {
+        if let Some(Role::Server(wire)) = self.lines.close(key) {
+            self.wires_open = self.wires_open.saturating_sub(1);
+            if let Some(server) = self.servers.get_mut(&wire.server) {
+                server.lines.retain(|k| *k != key);
+            }
+        }
+    }
+
+    /// Tells a server that a session which stands there is over.
+    pub(crate) fn cut(&mut self, number: u32, line: Option<Key>, play: u64, cause: u8) {
+        let reason = format!("cause={cause}");
+        let bytes = rtsp::request("TEARDOWN", "session", GIVE_UP, play, &[("Reason", &reason)], b"");
+        self.tell(number, line, &bytes);
+    }
+
+    /// Writes on this line to a server, or on any other.
+    fn tell(&mut self, number: u32, line: Option<Key>, bytes: &[u8]) {
+        let own = line.filter(|key| self.lines.get(*key).is_some_and(|line| !line.ended));
+        if let Some(key) = own.or_else(|| self.any_line(number)) {
+            self.write_wire(key, bytes);
+        }
+    }
+
+    /// The allocation that is out is given up: the server hears of it, unless nothing of it has left.
+    pub(crate) fn give_up(&mut self, play: u64) {
+        let Some(session) = self.sessions.get_mut(&play) else { return };
+        let Some(key) = session.line.take() else { return };
+        session.used.push(key);
+        let Some(line) = self.lines.get(key) else { return };
+        let Role::Server(wire) = &mut line.role else { return };
+        wire.open.retain(|(p, _)| *p != play);
+        let bytes = rtsp::request("TEARDOWN", "session", GIVE_UP, play, &[], b"");
+        line.write(&bytes);
+        line.flush();
+        let ended = line.ended;
+        if ended {
+            self.again.push_back(key);
+        }
+    }
+
+    /// The sessions that stand at a server, in order.
+    pub(crate) fn standing_at(&self, number: u32) -> Vec<u64> {
+        let here = self.sessions.iter().filter(|(_, s)| s.playing && s.server == Some(number));
+        let mut plays: Vec<u64> = here.map(|(play, _)| *play).collect();
+        plays.sort_unstable();
+        plays
+    }
+
+    pub(crate) fn send_rung(&mut self, play: u64) {
+        let Some(session) = self.sessions.get_mut(&play) else { return };
+        let (Some(server), true) = (session.server, session.playing) else { return };
+        if session.rung == session.rung_sent {
+            return;
+        }
+        session.rung_sent = session.rung;
+        let rung = session.rung.to_string();
+        let line = session.line;
+        self.sums.steps += 1;
+        let bytes = rtsp::request("SET_PARAMETER", "session", OTHER, play, &[("Rate-Step", &rung)], b"");
+        self.tell(server, line, &bytes);
+    }
+}
+
+/// A connection under way.
+fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket =
+        Socket::new(Domain::for_address(to), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(e) if e.raw_os_error() == Some(IN_PROGRESS) || e.kind() == std::io::ErrorKind::WouldBlock => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
+}
+
+/// `EINPROGRESS`: the connection is under way.
+const IN_PROGRESS: i32 = 115;
+
+impl Hands for Floor {
+    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
+        let now = self.now();
+        let Some(session) = self.sessions.get_mut(&play) else { return };
+        session.allocations += 1;
+        (session.server, session.since) = (Some(server), now);
+        (session.rung, session.rung_sent) = (rung, rung);
+        let (n, not) = (session.allocations, session.used.clone());
+        self.sums.sent += 1;
+        let Some(key) = self.line_for(server, &not) else {
+            return self.news.push_back(News { play, server, outcome: Outcome::Unreachable });
+        };
+        let Some(session) = self.sessions.get_mut(&play) else { return };
+        session.line = Some(key);
+        let (limit, step) = (time_out.max(1.0).ceil().to_string(), rung.to_string());
+        let fields: [(&str, &str); 3] =
+            [("X-Call-Class", &session.class), ("X-Ring-Limit", &limit), ("Rate-Step", &step)];
+        let bytes = rtsp::request("SETUP", &session.title, SET_UP, play, &fields, &session.description);
+        if let Some(line) = self.lines.get(key) {
+            let begins = line.given();
+            if let Role::Server(wire) = &mut line.role {
+                wire.open.push((play, begins));
+            }
+        }
+        self.write_wire(key, &bytes);
+        self.clock(now + time_out, Clock::TimeOut(play, n));
+    }
+
+    fn withdraw(&mut self, play: u64) {
+        let Some(session) = self.sessions.get(&play) else { return };
+        let Some(server) = session.server else { return };
+        if session.playing {
+            let (line, cause) = (session.line, session.cause);
+            self.cut(server, line, play, cause);
+        } else {
+            self.give_up(play);
+        }
+        self.news.push_back(News { play, server, outcome: Outcome::Withdrawn });
+    }
+
+    fn step(&mut self, play: u64, rung: usize) {
+        if let Some(session) = self.sessions.get_mut(&play) {
+            session.rung = rung;
+        }
+        self.send_rung(play);
+    }
+
+    fn probe(&mut self, server: u32) {
+        self.sums.probes += 1;
+        let Some(key) = self.any_line(server) else { return };
+        let id = self.rnd.rand_u64();
+        let bytes = rtsp::request("OPTIONS", "load", ASK, id, &[], b"");
+        self.write_wire(key, &bytes);
+    }
+
+    fn declined(&mut self, play: u64, pause: f64) {
+        self.sums.declined += 1;
+        self.turn_away(play, REFUSED, pause);
+    }
+
+    fn failed(&mut self, play: u64) {
+        self.sums.failed += 1;
+        self.turn_away(play, FAILED, 0.0);
+    }
+
+    fn wake(&mut self, mark: u32, wait: f64) {
+        let due = self.now() + wait;
+        self.clock(due, Clock::Desk(mark));
+    }
+
+    /// The list is asked for all the time.
+    fn follow(&mut self) {}
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,204 @@
+//! The node itself: one thread, one event loop. What comes on the lines is told to the desk, and what the desk wants done is
+//! done by the [`Floor`], its hands.
+//!
+//! A play's way: `viewers` takes the set-up, the desk sends it ([`Floor::send`]), `servers` takes the answer and hands it on.
+
+use crate::floor::{Clock, Floor, Role};
+use crate::listing::Asking;
+use crate::posting::Posting;
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, Mode, PostAction};
+use pulleystair::{Outcome, Standing};
+use pulleystair_desk::Desk;
+use pulleystair_lines::{Key, Owner};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::cmp::Reverse;
+use std::net::{SocketAddr, TcpListener};
+use tracing::{debug, info};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// So often are servers looked at, ms, and the sums written.
+const LOOK: f64 = 500.0;
+const SUMS: f64 = 5_000.0;
+/// After SIGTERM connections and set-ups are taken for so long, ms: they keep coming for 0.6 s.
+const OPEN_DOOR: f64 = 900.0;
+/// Left between the last answer that may be owed and the end, ms.
+const MARGIN: f64 = 200.0;
+
+pub struct Node {
+    pub(crate) desk: Desk,
+    pub(crate) floor: Floor,
+    pub(crate) asking: Asking,
+    /// The list of the start has been taken.
+    pub(crate) listed: bool,
+    halted: bool,
+}
+
+impl Owner for Node {
+    fn line_ready(&mut self, key: Key) {
+        let Some(line) = self.floor.lines.get(key) else { return };
+        match &line.role {
+            Role::Viewer(_) => self.viewer_ready(key),
+            Role::Server(_) => self.wire_ready(key),
+        }
+        self.settle();
+    }
+}
+
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket =
+        Socket::new(Domain::for_address(at), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Starts a node and runs it until it is told to stop.
+pub fn run(posting: Posting, signals: Signals) -> anyhow::Result<()> {
+    let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new()?;
+    let handle = event_loop.handle();
+    let at = posting.listen;
+    let listener = listen(at).map_err(|e| anyhow::anyhow!("listen: {at} can't be had: {e}"))?;
+    let desk = Desk::new(posting.sheet.clone(), posting.salt);
+    let floor = Floor::new(posting, handle.clone());
+    let asking = Asking::new(&floor, None, false)?;
+    let mut node = Node { desk, floor, asking, listed: false, halted: false };
+    node.take_known();
+    let door =
+        handle.insert_source(Generic::new(listener, Interest::READ, Mode::Level), |_, listener, node| {
+            node.accept(listener);
+            Ok(PostAction::Continue)
+        })?;
+    node.floor.door = Some(door);
+    handle.insert_source(signals, |event, (), node| match event.signal() {
+        Signal::SIGHUP => node.read_anew(),
+        Signal::SIGXFSZ => {}
+        _ => node.stop(),
+    })?;
+    node.ask();
+    let now = node.floor.now();
+    node.floor.clock(now + LOOK, Clock::Look);
+    node.floor.clock(now + SUMS, Clock::Sums);
+    info!(target: "node", name = node.floor.posting.name, %at, servers = node.floor.servers.len(), shares = ?node.floor.shares, "listens");
+    while !node.done() {
+        let wait = node.floor.next_clock();
+        event_loop.dispatch(wait, &mut node)?;
+        node.ring();
+        for _ in 0..node.floor.again.len() {
+            let Some(key) = node.floor.again.pop_front() else { break };
+            node.line_ready(key);
+        }
+    }
+    info!(target: "node", sums = ?node.floor.sums, open = node.floor.deciding, standing = node.floor.sessions.len(), "stopped");
+    Ok(())
+}
+
+impl Node {
+    fn ring(&mut self) {
+        loop {
+            let now = self.floor.now();
+            if self.floor.clocks.peek().is_none_or(|c| c.0.0 as f64 / 1000.0 > now) {
+                return;
+            }
+            let Some(Reverse((_, clock))) = self.floor.clocks.pop() else { return };
+            match clock {
+                Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
+                Clock::TimeOut(play, n) => self.time_out(now, play, n),
+                Clock::Line(key) => self.line_due(now, key),
+                Clock::Ask => self.ask(),
+                Clock::Look => {
+                    self.look_at_servers(now);
+                    self.floor.clock(now + LOOK, Clock::Look);
+                }
+                Clock::Sums => {
+                    let floor = &self.floor;
+                    info!(target: "sums", sums = ?floor.sums, open = floor.deciding, sessions = floor.sessions.len(),
+                        held = self.desk.held(), viewers = floor.viewers_open, wires = floor.wires_open,
+                        servers = floor.servers.len(), owed = floor.owed.len(), clocks = floor.clocks.len());
+                    self.floor.clock(now + SUMS, Clock::Sums);
+                }
+                Clock::Stop => self.halted = true,
+            }
+            self.settle();
+        }
+    }
+
+    fn line_due(&mut self, now: f64, key: Key) {
+        let Some(line) = self.floor.lines.get(key) else { return };
+        if line.due > now {
+            return;
+        }
+        line.due = f64::INFINITY;
+        let connected = line.connected() == Some(true);
+        match &line.role {
+            Role::Viewer(viewer) if !viewer.proven && viewer.came.is_finite() => {
+                debug!(target: "viewer", "closed: nothing usable came");
+                self.viewer_gone(key);
+            }
+            Role::Server(_) if !connected => self.wire_lost(key),
+            _ => {}
+        }
+    }
+
+    /// No new plays once the door is closed; a second signal ends at once.
+    fn stop(&mut self) {
+        if self.floor.stopping.is_some() {
+            self.halted = true;
+            return;
+        }
+        let now = self.floor.now();
+        self.floor.stopping = Some(now);
+        info!(target: "node", open = self.floor.deciding, standing = self.floor.sessions.len(), "stopping");
+        let last = now + self.floor.terms.longest + MARGIN;
+        self.floor.clock(last, Clock::Stop);
+        self.floor.clock(now + OPEN_DOOR, Clock::Look);
+    }
+
+    fn done(&mut self) -> bool {
+        let Some(since) = self.floor.stopping else { return self.halted };
+        let now = self.floor.now();
+        if now - since < OPEN_DOOR {
+            return false;
+        }
+        if let Some(door) = self.floor.door.take() {
+            self.floor.handle.remove(door);
+        }
+        self.halted
+            || self.floor.deciding == 0 && !self.floor.lines.waits(|role| matches!(role, Role::Viewer(_)))
+    }
+
+    /// A server has started anew: what stood there before does no more.
+    pub(crate) fn restarted(&mut self, number: u32, born: f64) {
+        for play in self.floor.standing_at(number) {
+            if self.floor.sessions.get(&play).is_some_and(|s| s.since < born) {
+                self.server_ended(play, number);
+            }
+        }
+    }
+
+    fn server_ended(&mut self, play: u64, number: u32) {
+        self.stood(play, number, Outcome::Broken, crate::floor::FAILED, &[]);
+    }
+
+    /// Numbers of servers that are gone and have nothing left are given back.
+    pub(crate) fn forget_gone(&mut self) {
+        let floor = &mut self.floor;
+        let out: std::collections::HashSet<u32> = floor.sessions.values().filter_map(|s| s.server).collect();
+        let gone: Vec<u32> = floor
+            .servers
+            .iter()
+            .filter(|(n, s)| s.listing.standing == Standing::Gone && s.address.is_some() && !out.contains(n))
+            .map(|(n, _)| *n)
+            .collect();
+        for number in gone {
+            let Some(server) = self.floor.servers.remove(&number) else { continue };
+            self.floor.numbers.remove(&server.id);
+            for key in server.lines {
+                self.floor.drop_wire(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/servers.rs
@@ -0,0 +1,346 @@
+//! What comes from media servers: answers to set-ups, the notes and ends of sessions that stand, reports, and the loss of
+//! connections.
+
+use crate::floor::{ENDED, FAILED, News, Role, WITHDRAWN};
+use crate::node::Node;
+use pulleystair::{Figure, Outcome};
+use pulleystair_lines::Key;
+use pulleystair_rtsp::{Message, Start};
+use pulleystair_signal::{self as signal, code, kind};
+use tracing::{debug, info};
+
+/// Bytes read at a time: a message fits.
+const READ: usize = 32 << 10;
+/// Reads of a line in one turn.
+const TURN: usize = 16;
+/// `CSeq` of answers that are not to a set-up.
+const TO_GIVE_UP: u32 = 2;
+const TO_ASK: u32 = 3;
+/// A server with plays that is silent for longer than this, beyond the time between its notes, is called, ms.
+const SILENCE: f64 = 1_000.0;
+/// So many calls in a row that did not come up mean that it is lost.
+const CALLS: u32 = 2;
+
+impl Node {
+    pub(crate) fn wire_ready(&mut self, key: Key) {
+        for _ in 0..TURN {
+            let now = self.floor.now();
+            let Some(line) = self.floor.lines.get(key) else { return };
+            match line.connected() {
+                Some(false) => return self.wire_lost(key),
+                None => return,
+                Some(true) => {}
+            }
+            line.flush();
+            let came = line.read(READ);
+            let ended = line.ended;
+            let Role::Server(wire) = &mut line.role else { return };
+            let number = wire.server;
+            let newly = !std::mem::replace(&mut wire.up, true);
+            if came || newly {
+                wire.heard = now;
+                line.due = f64::INFINITY;
+                if let Some(server) = self.floor.servers.get_mut(&number) {
+                    (server.heard, server.lost) = (now, 0);
+                }
+            }
+            let Some(line) = self.floor.lines.get(key) else { return };
+            if !line.input.is_empty() {
+                let input = std::mem::take(&mut line.input);
+                match self.server_messages(key, number, &input) {
+                    Some(used) => {
+                        let Some(line) = self.floor.lines.get(key) else { return };
+                        line.input = input[used..].to_vec();
+                    }
+                    None => return self.wire_lost(key),
+                }
+            }
+            if ended {
+                return self.wire_lost(key);
+            }
+            if !came {
+                return;
+            }
+        }
+        self.floor.again.push_back(key);
+    }
+
+    /// Takes the whole messages off; none where what came can't be read.
+    fn server_messages(&mut self, key: Key, server: u32, input: &[u8]) -> Option<usize> {
+        let mut used = 0;
+        loop {
+            match Message::read(&input[used..]) {
+                Ok(None) => return Some(used),
+                Err(e) => {
+                    debug!(target: "server", server = self.floor.id_of(server), "spoilt: {e}");
+                    self.floor.sums.spoilt += 1;
+                    return None;
+                }
+                Ok(Some((message, n))) => {
+                    used += n;
+                    // What follows an answer and can't be read spoils that too: its length did not fit.
+                    if let Err(e) = Message::read(&input[used..]) {
+                        debug!(target: "server", server = self.floor.id_of(server), "spoilt behind: {e}");
+                        self.floor.sums.spoilt += 1;
+                        return None;
+                    }
+                    self.server_message(key, server, &message);
+                    self.settle();
+                    if self.floor.lines.get(key).is_none() {
+                        return Some(used);
+                    }
+                }
+            }
+        }
+    }
+
+    fn server_message(&mut self, key: Key, server: u32, message: &Message) {
+        let now = self.floor.now();
+        let play = message.session;
+        let load: Vec<Figure> =
+            message.report().filter_map(|(name, value)| pulleystair_sheet::figure(name, value)).collect();
+        let session = self.floor.sessions.get(&play).filter(|s| s.server == Some(server));
+        let stands = session.is_some_and(|s| s.playing);
+        let out = session.is_some_and(|s| !s.playing && s.line == Some(key));
+        match &message.start {
+            Start::Answer(100..=199) => {}
+            Start::Answer(_) if message.cseq() == Some(TO_GIVE_UP) => {}
+            Start::Answer(_) if message.cseq() == Some(TO_ASK) => {
+                self.desk.report(now, server, &load, &mut self.floor);
+            }
+            Start::Answer(200) if out => self.plays(now, key, server, play, &message.body, &load),
+            Start::Answer(200) if stands => {}
+            Start::Answer(200) => {
+                // Late, or nobody's: what was given up must not stand.
+                self.floor.sums.late += 1;
+                self.floor.cut(server, Some(key), play, WITHDRAWN);
+            }
+            Start::Answer(status) if out => {
+                let outcome = match status {
+                    453 => Outcome::Full,
+                    454 => Outcome::NeverSent,
+                    504 => Outcome::Broken,
+                    _ => Outcome::Error,
+                };
+                self.allocation_ended(play, server, outcome, &load);
+            }
+            Start::Answer(_) => {}
+            Start::Request(method) => match method.as_str() {
+                "TEARDOWN" if stands => {
+                    let cause = message.cause().unwrap_or(FAILED);
+                    let outcome = match cause {
+                        ENDED => Outcome::Finished,
+                        WITHDRAWN => Outcome::Withdrawn,
+                        _ => Outcome::Broken,
+                    };
+                    self.stood(play, server, outcome, cause, &load);
+                }
+                "TEARDOWN" if out => self.allocation_ended(play, server, Outcome::Broken, &load),
+                "REDIRECT" if stands => self.stood(play, server, Outcome::Withdrawn, FAILED, &load),
+                "ANNOUNCE" if stands => {
+                    let (Some(why), Some(amount)) = (message.field("X-Why"), message.number("Figure")) else {
+                        return;
+                    };
+                    match why {
+                        "d" => self.desk.note(now, play, server, Figure::Delivered(amount), &mut self.floor),
+                        "l" => self.desk.note(now, play, server, Figure::Link(amount), &mut self.floor),
+                        "u" => self.desk.note(now, play, server, Figure::Uplink(amount), &mut self.floor),
+                        "r" => {
+                            let rung = amount.max(0.0) as usize;
+                            self.desk.rung_told(play, rung);
+                            if let Some(session) = self.floor.sessions.get_mut(&play) {
+                                (session.rung, session.rung_sent) = (rung, rung);
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                _ => {}
+            },
+        }
+    }
+
+    /// The set-up was answered: its viewer gets the description as it came.
+    fn plays(&mut self, now: f64, key: Key, server: u32, play: u64, description: &[u8], load: &[Figure]) {
+        self.no_more_open(key, play);
+        let Some(bytes) = signal::write(kind::ANSWER, play, &[(code::DESCRIPTION, description)]) else {
+            self.floor.cut(server, Some(key), play, WITHDRAWN);
+            return self.allocation_ended(play, server, Outcome::Error, load);
+        };
+        let Some(session) = self.floor.sessions.get_mut(&play) else { return };
+        session.playing = true;
+        session.since = now;
+        session.description = Vec::new();
+        session.used = Vec::new();
+        let viewer = session.viewer;
+        self.floor.sums.played += 1;
+        self.floor.answered(viewer, play);
+        self.floor.write_viewer(viewer, &bytes);
+        if let Some(server) = self.floor.servers.get_mut(&server) {
+            server.playing += 1;
+        }
+        self.desk.playing(now, play, &mut self.floor);
+        self.desk.report(now, server, load, &mut self.floor);
+        self.floor.send_rung(play);
+    }
+
+    fn no_more_open(&mut self, key: Key, play: u64) {
+        if let Some(Role::Server(wire)) = self.floor.lines.get(key).map(|line| &mut line.role) {
+            wire.open.retain(|(p, _)| *p != play);
+        }
+    }
+
+    /// An allocation that was out has ended without a play.
+    pub(crate) fn allocation_ended(&mut self, play: u64, server: u32, outcome: Outcome, load: &[Figure]) {
+        let now = self.floor.now();
+        if let Some(session) = self.floor.sessions.get_mut(&play).filter(|s| s.server == Some(server)) {
+            let key = session.line.take();
+            session.server = None;
+            let waited = now - session.since;
+            if let Some(key) = key {
+                self.no_more_open(key, play);
+            }
+            debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), ?outcome, waited, "allocation ended");
+        }
+        self.desk.ended(now, play, server, outcome, false, load, &mut self.floor);
+        if self.desk.play(play).is_none() {
+            self.floor.sessions.remove(&play);
+        }
+    }
+
+    /// A session that stood is over, by its server's word or loss: the viewer is told, unless it ended it itself.
+    pub(crate) fn stood(&mut self, play: u64, server: u32, outcome: Outcome, cause: u8, load: &[Figure]) {
+        let now = self.floor.now();
+        let Some(session) = self.floor.sessions.remove(&play) else { return };
+        if let Some(server) = self.floor.servers.get_mut(&server) {
+            server.playing = server.playing.saturating_sub(1);
+        }
+        if outcome == Outcome::Finished {
+            self.floor.sums.ended += 1;
+        } else if outcome == Outcome::Broken {
+            self.floor.sums.lost += 1;
+        }
+        if outcome != Outcome::Withdrawn || cause != WITHDRAWN {
+            self.floor.release(play, session.viewer, session.from, cause);
+        }
+        self.desk.ended(now, play, server, outcome, true, load, &mut self.floor);
+        self.settle();
+    }
+
+    /// A session that stood is over by its viewer's word, or by this front's (`told`: the cause its viewer is told).
+    pub(crate) fn over(&mut self, play: u64, told: Option<u8>) {
+        let now = self.floor.now();
+        self.desk.left(play, &mut self.floor);
+        // The desk has had it withdrawn; that is told as news, and the session is gone by then.
+        let Some(session) = self.floor.sessions.remove(&play) else { return };
+        if let Some(number) = session.server {
+            if let Some(server) = self.floor.servers.get_mut(&number) {
+                server.playing = server.playing.saturating_sub(1);
+            }
+            self.floor.news.retain(|news| news.play != play);
+            self.desk.ended(now, play, number, Outcome::Withdrawn, true, &[], &mut self.floor);
+        }
+        if let Some(cause) = told {
+            self.floor.release(play, session.viewer, session.from, cause);
+        }
+    }
+
+    /// A connection to a server could not be made, was lost, or brought what can't be read.
+    pub(crate) fn wire_lost(&mut self, key: Key) {
+        let Some(line) = self.floor.lines.get(key) else { return };
+        let up = line.connected() == Some(true);
+        let gone = line.gone();
+        let Role::Server(wire) = &mut line.role else { return };
+        let (number, open) = (wire.server, std::mem::take(&mut wire.open));
+        self.floor.drop_wire(key);
+        for (play, begins) in open {
+            // Nothing of a set-up that has not begun to leave can have run.
+            let outcome = if !up || gone <= begins { Outcome::Unreachable } else { Outcome::Broken };
+            self.allocation_ended(play, number, outcome, &[]);
+        }
+        if let Some(server) = self.floor.servers.get_mut(&number) {
+            if !up {
+                server.lost += 1;
+            }
+            if server.playing > 0 && server.lines.is_empty() {
+                if server.lost >= CALLS || self.floor.dial(number).is_none() {
+                    self.server_lost(number);
+                }
+            }
+        }
+        self.settle();
+    }
+
+    /// Nothing that stands at a server is there any more.
+    fn server_lost(&mut self, number: u32) {
+        let plays = self.floor.standing_at(number);
+        info!(target: "server", server = self.floor.id_of(number), plays = plays.len(), "lost");
+        for play in plays {
+            self.stood(play, number, Outcome::Broken, FAILED, &[]);
+        }
+        if let Some(server) = self.floor.servers.get_mut(&number) {
+            server.lost = 0;
+        }
+    }
+
+    /// Servers with plays that have been silent for longer than their notes are apart are called anew.
+    pub(crate) fn look_at_servers(&mut self, now: f64) {
+        let most = self.floor.terms.tells * 1.25 + SILENCE;
+        let silent: Vec<u32> = self
+            .floor
+            .servers
+            .iter()
+            .filter(|(_, s)| s.playing > 0 && now - s.heard > most)
+            .map(|(n, _)| *n)
+            .collect();
+        for number in silent {
+            let Some(server) = self.floor.servers.get(&number) else { continue };
+            let calling = server.lines.clone().into_iter().any(|key| {
+                self.floor.lines.get(key).is_some_and(|line| matches!(&line.role, Role::Server(w) if !w.up))
+            });
+            if calling {
+                continue;
+            }
+            if self.floor.dial(number).is_none() {
+                self.server_lost(number);
+            }
+        }
+    }
+
+    /// An allocation has had its time.
+    pub(crate) fn time_out(&mut self, now: f64, play: u64, n: u32) {
+        let Some(session) = self.floor.sessions.get(&play) else { return };
+        if session.allocations != n || session.playing {
+            return;
+        }
+        let (Some(server), Some(key), since) = (session.server, session.line, session.since) else { return };
+        let mut outcome = Outcome::TimedOut;
+        let mut drop_it = false;
+        if let Some(line) = self.floor.lines.get(key) {
+            let (up, gone) = (line.connected() == Some(true), line.gone());
+            if let Role::Server(wire) = &mut line.role {
+                let begins = wire.open.iter().find(|(p, _)| *p == play).map_or(0, |o| o.1);
+                if !up || gone <= begins {
+                    (outcome, drop_it) = (Outcome::Unreachable, true);
+                }
+                // Silent since this set-up went out: it may never speak again.
+                wire.tired |= wire.heard < since;
+            }
+        }
+        if drop_it {
+            // Bytes that wait on it would run later.
+            self.wire_lost(key);
+            return;
+        }
+        debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), waited = now - since, ?outcome, "timed out");
+        self.floor.give_up(play);
+        self.allocation_ended(play, server, outcome, &[]);
+        self.settle();
+    }
+
+    pub(crate) fn settle(&mut self) {
+        while let Some(News { play, server, outcome }) = self.floor.news.pop_front() {
+            self.allocation_ended(play, server, outcome, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/shares.rs
@@ -0,0 +1,22 @@
+//! How the descriptors that a node may hold are shared out. A reserve is left, so that accepting, to turn someone away, and
+//! closing always work.
+
+/// For the log, the loop, its signals and wake-ups, the listener and the name service.
+const OWN: usize = 16;
+/// Free at all times: what is accepted only to be turned away, files that are read anew.
+const RESERVE: usize = 16;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Shares {
+    pub viewers: usize,
+    pub servers: usize,
+}
+
+impl Shares {
+    /// Usual viewers keep to a third of the limit; as much again is for those who don't, and the last third for servers.
+    pub fn of(sockets: usize) -> Shares {
+        let left = sockets.saturating_sub(OWN + RESERVE).max(12);
+        let servers = left / 3;
+        Shares { viewers: left - servers, servers }
+    }
+}
--- /dev/null
+++ b/crates/node/src/viewers.rs
@@ -0,0 +1,335 @@
+//! What comes from viewers: set-ups, what gives them up, the ends of sessions, and tests.
+
+use crate::floor::{BUSY, Clock, Role, Session, UNUSABLE, Viewer, WITHDRAWN};
+use crate::node::Node;
+use pulleystair_desk::Wish;
+use pulleystair_lines::Key;
+use pulleystair_signal::{Message, code, kind};
+use std::net::TcpListener;
+use tracing::debug;
+
+/// Bytes read at a time: a message fits.
+const READ: usize = 32 << 10;
+/// Messages taken off a line in one turn.
+const TURN: usize = 64;
+/// A connection that has brought nothing usable by then is closed, ms. Such a viewer is owed an end within 3 s.
+const SILENT: f64 = 2_400.0;
+/// Set-ups that a connection may have open, and all together.
+const OPEN_EACH: usize = 48;
+const OPEN_MOST: usize = 1_024;
+/// So many turned away on one connection close it.
+const TURNED: usize = 256;
+/// The longest time that a viewer may say that it waits, ms.
+const LONGEST: f64 = 600_000.0;
+
+/// A set-up as it was read.
+struct Asked {
+    wish: Wish,
+    class: String,
+    title: String,
+    description: Vec<u8>,
+    at: Option<String>,
+}
+
+impl Node {
+    pub(crate) fn accept(&mut self, listener: &TcpListener) {
+        loop {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => continue,
+                Err(_) => return,
+            };
+            if self.floor.viewers_open >= self.floor.shares.viewers && !self.make_room() {
+                drop(stream);
+                continue;
+            }
+            let now = self.floor.now();
+            let viewer = Viewer { came: now, proven: false, open: Vec::new(), turned: 0, leaving: false };
+            let Ok(key) = self.floor.lines.open(stream, None, Role::Viewer(viewer)) else { continue };
+            self.floor.viewers_open += 1;
+            self.floor.viewers.push_back(key);
+            if let Some(line) = self.floor.lines.get(key) {
+                line.due = now + SILENT;
+            }
+            self.floor.clock(now + SILENT, Clock::Line(key));
+        }
+    }
+
+    /// Closes the oldest connection that has brought nothing, else the oldest with no open set-up.
+    fn make_room(&mut self) -> bool {
+        let floor = &mut self.floor;
+        let (mut silent, mut idle) = (None, None);
+        for key in &floor.viewers {
+            let Some(line) = floor.lines.get(*key) else { continue };
+            let Role::Viewer(viewer) = &line.role else { continue };
+            if !viewer.proven && viewer.open.is_empty() {
+                silent = Some(*key);
+                break;
+            }
+            if viewer.open.is_empty() && idle.is_none() {
+                idle = Some(*key);
+            }
+        }
+        let Some(key) = silent.or(idle) else { return false };
+        floor.sums.evicted += 1;
+        self.viewer_gone(key);
+        true
+    }
+
+    /// A viewer's connection is at its end: what it had open is given up.
+    pub(crate) fn viewer_gone(&mut self, key: Key) {
+        let Some(Role::Viewer(viewer)) = self.floor.lines.close(key) else { return };
+        self.floor.viewers_open = self.floor.viewers_open.saturating_sub(1);
+        self.floor.viewers.retain(|k| *k != key);
+        for play in viewer.open {
+            self.gave_up(play);
+        }
+        self.settle();
+    }
+
+    /// An open set-up is not waited for any more.
+    fn gave_up(&mut self, play: u64) {
+        let Some(session) = self.floor.sessions.get(&play) else { return };
+        let (key, server) = (session.viewer, session.server);
+        self.floor.answered(key, play);
+        self.desk.left(play, &mut self.floor);
+        // One that is out is forgotten with the outcome that the desk is still told.
+        if server.is_none() {
+            self.floor.sessions.remove(&play);
+        }
+    }
+
+    pub(crate) fn viewer_ready(&mut self, key: Key) {
+        for _ in 0..TURN {
+            let Some(line) = self.floor.lines.get(key) else { return };
+            line.flush();
+            let came = line.read(READ);
+            let (ended, pending) = (line.ended, line.pending());
+            let Role::Viewer(viewer) = &mut line.role else { return };
+            if viewer.leaving {
+                line.input.clear();
+                if ended || pending == 0 {
+                    return self.viewer_gone(key);
+                }
+                return;
+            }
+            if !line.input.is_empty() {
+                let input = std::mem::take(&mut line.input);
+                let used = self.messages(key, &input);
+                let Some(line) = self.floor.lines.get(key) else { return };
+                match used {
+                    Some(used) => line.input = input[used..].to_vec(),
+                    None => return self.viewer_gone(key),
+                }
+            }
+            if ended {
+                return self.viewer_gone(key);
+            }
+            if !came {
+                return;
+            }
+        }
+        self.floor.again.push_back(key);
+    }
+
+    /// Takes the whole messages off; none where the connection is to be closed.
+    fn messages(&mut self, key: Key, input: &[u8]) -> Option<usize> {
+        let mut used = 0;
+        loop {
+            match Message::read(&input[used..]) {
+                Ok(None) => return Some(used),
+                Err(e) => {
+                    debug!(target: "viewer", "closed: {e}");
+                    self.floor.sums.unusable += 1;
+                    return None;
+                }
+                Ok(Some((message, n))) => {
+                    used += n;
+                    if !self.message(key, &message) {
+                        return None;
+                    }
+                    self.settle();
+                    let Some(line) = self.floor.lines.get(key) else { return Some(used) };
+                    let Role::Viewer(viewer) = &line.role else { return Some(used) };
+                    if viewer.turned > TURNED {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes one message; false where the connection is to be closed.
+    fn message(&mut self, key: Key, message: &Message) -> bool {
+        let play = message.session;
+        match message.kind {
+            kind::SET_UP => return self.set_up(key, message),
+            kind::RELEASE => {
+                let Some(session) = self.floor.sessions.get_mut(&play) else { return true };
+                if session.playing {
+                    session.cause = message.cause().unwrap_or(WITHDRAWN);
+                    self.over(play, None);
+                } else if session.viewer == key {
+                    self.gave_up(play);
+                }
+            }
+            kind::MOVE => {
+                if self.floor.sessions.get(&play).is_some_and(|s| s.playing) {
+                    self.over(play, None);
+                }
+            }
+            kind::TEST => {
+                let passed = u8::from(self.listed && self.floor.stopping.is_none());
+                let bytes = pulleystair_signal::write(kind::TESTED, play, &[(code::CAUSE, &[passed])]);
+                self.floor.write_viewer(key, &bytes.unwrap_or_default());
+                if let Some(Role::Viewer(viewer)) = self.floor.lines.get(key).map(|l| &mut l.role) {
+                    viewer.came = f64::INFINITY;
+                }
+            }
+            kind::PROGRESS | kind::HEARD | kind::NOTE | kind::RUNG => {}
+            _ => return false,
+        }
+        true
+    }
+
+    fn set_up(&mut self, key: Key, message: &Message) -> bool {
+        let play = message.session;
+        let now = self.floor.now();
+        let asked = match self.read_set_up(now, message) {
+            Ok(asked) => asked,
+            Err(cause) => {
+                debug!(target: "viewer", play = format!("{play:016x}"), "not usable: {cause}");
+                // The id of an open play again: that one keeps its answer.
+                if self.floor.sessions.contains_key(&play) {
+                    return false;
+                }
+                self.floor.sums.unusable += 1;
+                self.turned(key);
+                self.floor.refuse(key, play, UNUSABLE, 0.0);
+                return true;
+            }
+        };
+        if let Some(at) = asked.at.clone() {
+            if !self.floor.sessions.contains_key(&play) {
+                self.adopt(now, key, play, asked, &at);
+            }
+            return true;
+        }
+        if self.floor.sessions.contains_key(&play) {
+            return false;
+        }
+        self.floor.sums.asked += 1;
+        let Some(line) = self.floor.lines.get(key) else { return true };
+        let from = line.from();
+        let Role::Viewer(viewer) = &mut line.role else { return true };
+        if viewer.open.len() >= OPEN_EACH || self.floor.deciding >= OPEN_MOST {
+            self.floor.sums.flooded += 1;
+            self.turned(key);
+            let pause = self.floor.terms.stay_away;
+            self.floor.refuse(key, play, BUSY, pause);
+            return true;
+        }
+        viewer.open.push(play);
+        let newly = !std::mem::replace(&mut viewer.proven, true);
+        self.floor.deciding += 1;
+        self.floor.sessions.insert(play, session(key, from, &asked));
+        if newly {
+            self.floor.pay(key);
+        }
+        self.desk.take(now, play, &asked.wish, &mut self.floor);
+        true
+    }
+
+    fn turned(&mut self, key: Key) {
+        if let Some(Role::Viewer(viewer)) = self.floor.lines.get(key).map(|l| &mut l.role) {
+            viewer.turned += 1;
+        }
+    }
+
+    /// A session that plays already at that server.
+    fn adopt(&mut self, now: f64, key: Key, play: u64, asked: Asked, at: &str) {
+        let server = self.floor.number(at);
+        let from = self.floor.lines.get(key).and_then(|line| line.from());
+        let mut it = session(key, from, &asked);
+        (it.server, it.playing, it.since) = (Some(server), true, now);
+        self.floor.sessions.insert(play, it);
+        if let Some(server) = self.floor.servers.get_mut(&server) {
+            server.playing += 1;
+            if server.heard == 0.0 {
+                server.heard = now;
+            }
+        }
+        self.desk.adopt(now, play, &asked.wish, server, &mut self.floor);
+        // A server that knows no connection of this front can't tell of the session.
+        let _ = self.floor.any_line(server);
+    }
+
+    fn read_set_up(&self, now: f64, message: &Message) -> Result<Asked, &'static str> {
+        if message.parameters().any(|p| p.is_err()) {
+            return Err("a parameter does not fit");
+        }
+        let terms = &self.floor.terms;
+        let class = message.text(code::CLASS).ok_or("no class")?;
+        let product = terms.products.iter().position(|p| p == class).ok_or("unknown class")?;
+        if !self.desk.sells(product) {
+            return Err("unknown class");
+        }
+        let title = message.text(code::TITLE).ok_or("no title")?;
+        let digits = !title.is_empty() && title.len() <= 16 && title.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u64::from_str_radix(title, 16).ok().filter(|_| digits).ok_or("title is no id")?;
+        let limit: f64 = message.text(code::LIMIT).and_then(|t| t.parse().ok()).ok_or("no time limit")?;
+        if !(limit > 0.0 && limit <= LONGEST) {
+            return Err("time limit out of range");
+        }
+        if let Some(hint) = message.get(code::HINT) {
+            let hint: Option<f64> = std::str::from_utf8(hint).ok().and_then(|t| t.parse().ok());
+            if !hint.is_some_and(|h| (0.0..1e12).contains(&h)) {
+                return Err("hint is no time");
+            }
+        }
+        let description = message.get(code::DESCRIPTION).ok_or("no description")?.to_vec();
+        let (mut home, mut copies, mut top, mut at) = (None, None, None, None);
+        for pair in message.text(code::EXTRAS).ok_or("no figures")?.split(';') {
+            let (name, value) = pair.split_once(':').unwrap_or((pair, ""));
+            let figure =
+                || value.parse::<f64>().ok().filter(|x| *x >= 0.0 && x.fract() == 0.0).map(|x| x as usize);
+            match name {
+                "home" => home = Some(figure().filter(|x| *x < terms.cells).ok_or("home out of range")?),
+                "copies" => {
+                    copies = Some(
+                        figure().filter(|x| (1..=terms.cells).contains(x)).ok_or("copies out of range")?,
+                    );
+                }
+                "top" => top = Some(figure().filter(|x| *x < terms.rungs).ok_or("top out of range")?),
+                "at" if !value.is_empty() && value.len() <= 64 => at = Some(value.to_string()),
+                "at" => return Err("at names no server"),
+                _ => {}
+            }
+        }
+        let (Some(first_cell), Some(holders), Some(top)) = (home, copies, top) else {
+            return Err("figures are missing");
+        };
+        let wish = Wish { product, title: number, first_cell, holders, top, came: now, limit: now + limit };
+        Ok(Asked { wish, class: class.to_string(), title: title.to_string(), description, at })
+    }
+}
+
+fn session(viewer: Key, from: Option<std::net::IpAddr>, asked: &Asked) -> Session {
+    Session {
+        viewer,
+        from,
+        class: asked.class.clone(),
+        title: asked.title.clone(),
+        description: asked.description.clone(),
+        server: None,
+        line: None,
+        playing: false,
+        since: 0.0,
+        allocations: 0,
+        used: Vec::new(),
+        rung: 0,
+        rung_sent: 0,
+        cause: WITHDRAWN,
+    }
+}
--- /dev/null
+++ b/crates/rtsp/src/lib.rs
@@ -0,0 +1,165 @@
+//! The media servers' RTSP messages, read from bytes in any cuts and written whole. No I/O; called by the node.
+//!
+//! The first line is read here, the header fields by httparse, which refuses what can't be a field before the line has ended.
+
+use std::fmt::Write;
+use thiserror::Error;
+
+/// Bytes of a message at most, head and body.
+pub const MOST: usize = 16 << 10;
+/// Bytes of a first line at most.
+const LINE: usize = 1024;
+/// Header fields at most.
+const FIELDS: usize = 32;
+const VERSION: &str = "RTSP/1.0";
+
+/// What was wrong with the bytes that a peer sent.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    #[error("the first line has a byte {0:#04x}")]
+    Byte(u8),
+    #[error("the first line does not end within {LINE} bytes")]
+    Endless,
+    #[error("the first line is neither an answer's nor a request's: {0:?}")]
+    FirstLine(String),
+    #[error("the header can't be read: {0}")]
+    Header(httparse::Error),
+    #[error("there is not one Content-Length")]
+    Length,
+    #[error("it says that it has {0} bytes, more than are taken")]
+    Long(u64),
+    #[error("there is no Session of 16 hex digits")]
+    Session,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Start {
+    Answer(u16),
+    Request(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub start: Start,
+    pub session: u64,
+    fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+/// 16 hex digits as ids are written.
+pub fn id(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+fn first_line(line: &str) -> Result<Start, Fault> {
+    let fault = || Fault::FirstLine(line.chars().take(60).collect());
+    let (one, rest) = line.split_once(' ').ok_or_else(fault)?;
+    if one == VERSION {
+        let code = rest.split(' ').next().unwrap_or(rest);
+        let digits = code.len() == 3 && code.bytes().all(|b| b.is_ascii_digit());
+        return digits.then(|| code.parse().ok()).flatten().map(Start::Answer).ok_or_else(fault);
+    }
+    let method = !one.is_empty() && one.bytes().all(|b| b.is_ascii_uppercase() || b == b'_');
+    let (target, version) = rest.rsplit_once(' ').ok_or_else(fault)?;
+    if !method || version != VERSION || target.is_empty() || target.contains(' ') {
+        return Err(fault());
+    }
+    Ok(Start::Request(one.to_string()))
+}
+
+impl Message {
+    /// The first message of these bytes and how many it takes; none while it has not come whole.
+    pub fn read(input: &[u8]) -> Result<Option<(Message, usize)>, Fault> {
+        let line = &input[..input.iter().position(|b| *b == b'\n').unwrap_or(input.len())];
+        if line.len() > LINE {
+            return Err(Fault::Endless);
+        }
+        let printed = line.strip_suffix(b"\r").unwrap_or(line);
+        if let Some(odd) = printed.iter().find(|b| !(b' '..=b'~').contains(*b)) {
+            return Err(Fault::Byte(*odd));
+        }
+        if line.len() == input.len() {
+            return Ok(None);
+        }
+        let start = first_line(&String::from_utf8_lossy(printed))?;
+        let head = &input[line.len() + 1..];
+        let mut room = [httparse::EMPTY_HEADER; FIELDS];
+        let (used, found) = match httparse::parse_headers(head, &mut room) {
+            Ok(httparse::Status::Complete(it)) => it,
+            Ok(httparse::Status::Partial) if input.len() >= MOST => {
+                return Err(Fault::Long(input.len() as u64));
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(e) => return Err(Fault::Header(e)),
+        };
+        let text = |value: &[u8]| String::from_utf8_lossy(value).trim().to_string();
+        let fields: Vec<(String, String)> =
+            found.iter().map(|f| (f.name.to_string(), text(f.value))).collect();
+        let mut lengths = fields.iter().filter(|f| f.0.eq_ignore_ascii_case("Content-Length"));
+        let (Some((_, length)), None) = (lengths.next(), lengths.next()) else { return Err(Fault::Length) };
+        if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(Fault::Length);
+        }
+        let length: u64 = length.parse().unwrap_or(u64::MAX);
+        let body = line.len() + 1 + used;
+        let whole = length.saturating_add(body as u64);
+        if whole > MOST as u64 {
+            return Err(Fault::Long(whole));
+        }
+        let whole = whole as usize;
+        let mut message = Message { start, session: 0, fields, body: Vec::new() };
+        message.session = message.field("Session").and_then(id).ok_or(Fault::Session)?;
+        let Some(bytes) = input.get(body..whole) else { return Ok(None) };
+        message.body = bytes.to_vec();
+        Ok(Some((message, whole)))
+    }
+
+    /// The first field of this name.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1.as_str())
+    }
+
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.field(name)?.parse().ok().filter(|n: &f64| n.is_finite())
+    }
+
+    /// Which request an answer is to; none where it does not say.
+    pub fn cseq(&self) -> Option<u32> {
+        self.field("CSeq")?.parse().ok()
+    }
+
+    /// The cause that a release gives as `cause=N`.
+    pub fn cause(&self) -> Option<u8> {
+        self.field("Reason")?.trim().strip_prefix("cause=")?.parse().ok()
+    }
+
+    /// A report's figures by their names, as in `x0:12;x1:40`; those that are no numbers are passed over.
+    pub fn report(&self) -> impl Iterator<Item = (&str, f64)> {
+        let pairs = self.field("X-Circuits").unwrap_or("").split(';');
+        pairs.filter_map(|pair| {
+            let (name, value) = pair.split_once(':')?;
+            Some((name.trim(), value.trim().parse().ok().filter(|n: &f64| n.is_finite())?))
+        })
+    }
+}
+
+/// A whole request.
+pub fn request(
+    method: &str,
+    path: &str,
+    cseq: u32,
+    session: u64,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> Vec<u8> {
+    let mut head =
+        format!("{method} rtsp://media/{path} {VERSION}\r\nCSeq: {cseq}\r\nSession: {session:016x}\r\n");
+    for (name, value) in fields {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\n\r\n", body.len());
+    let mut out = head.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
--- /dev/null
+++ b/crates/signal/src/lib.rs
@@ -0,0 +1,130 @@
+//! The viewers' binary messages, read from bytes in any cuts and written whole. No I/O; called by the node.
+//!
+//! A message is a length of two bytes (of all that follows), a type, the session's eight bytes, and parameters, each a code, a
+//! length of two bytes and a value.
+
+use thiserror::Error;
+
+/// Bytes of a message at most, its length included.
+pub const MOST: usize = 16 << 10;
+const LENGTH: usize = 2;
+/// Type and session, which every message has.
+const HEAD: usize = 9;
+
+/// What a message is, by its type.
+pub mod kind {
+    pub const SET_UP: u8 = 1;
+    pub const PROGRESS: u8 = 6;
+    pub const ANSWER: u8 = 9;
+    pub const RELEASE: u8 = 12;
+    pub const HEARD: u8 = 16;
+    pub const NOTE: u8 = 44;
+    pub const MOVE: u8 = 51;
+    pub const TEST: u8 = 52;
+    pub const TESTED: u8 = 53;
+    pub const RUNG: u8 = 60;
+}
+
+/// What a parameter is, by its code.
+pub mod code {
+    pub const CLASS: u8 = 3;
+    pub const LIMIT: u8 = 6;
+    pub const TITLE: u8 = 15;
+    pub const EXTRAS: u8 = 18;
+    pub const STAY_AWAY: u8 = 21;
+    pub const HINT: u8 = 33;
+    pub const CAUSE: u8 = 45;
+    pub const DESCRIPTION: u8 = 48;
+}
+
+/// What was wrong with the bytes that a peer sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    #[error("a message says that it has {0} bytes, fewer than its type and session take")]
+    Short(usize),
+    #[error("a message says that it has {0} bytes, more than are taken")]
+    Long(usize),
+    #[error("parameter {code} says that it has {length} bytes where {left} are left")]
+    Overrun { code: u8, length: usize, left: usize },
+    #[error("a message ends within the head of a parameter")]
+    Cut,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message<'a> {
+    pub kind: u8,
+    pub session: u64,
+    parameters: &'a [u8],
+}
+
+impl<'a> Message<'a> {
+    /// The first message of these bytes and how many it takes; none while it has not come whole.
+    pub fn read(input: &'a [u8]) -> Result<Option<(Message<'a>, usize)>, Fault> {
+        let Some(length) = input.first_chunk::<LENGTH>() else { return Ok(None) };
+        let length = u16::from_be_bytes(*length) as usize;
+        if length < HEAD {
+            return Err(Fault::Short(length));
+        }
+        if length + LENGTH > MOST {
+            return Err(Fault::Long(length));
+        }
+        let Some(body) = input.get(LENGTH..LENGTH + length) else { return Ok(None) };
+        let mut session = [0; 8];
+        session.copy_from_slice(&body[1..HEAD]);
+        let message =
+            Message { kind: body[0], session: u64::from_be_bytes(session), parameters: &body[HEAD..] };
+        Ok(Some((message, LENGTH + length)))
+    }
+
+    /// Its parameters in order, up to the first that can't be read.
+    pub fn parameters(&self) -> impl Iterator<Item = Result<(u8, &'a [u8]), Fault>> + use<'a> {
+        let mut rest = self.parameters;
+        std::iter::from_fn(move || {
+            let (code, after) = rest.split_first()?;
+            let Some((length, after)) = after.split_first_chunk::<2>() else {
+                rest = &[];
+                return Some(Err(Fault::Cut));
+            };
+            let length = u16::from_be_bytes(*length) as usize;
+            let Some((value, after)) = after.split_at_checked(length) else {
+                rest = &[];
+                return Some(Err(Fault::Overrun { code: *code, length, left: after.len() }));
+            };
+            rest = after;
+            Some(Ok((*code, value)))
+        })
+    }
+
+    /// The first value of this parameter.
+    pub fn get(&self, code: u8) -> Option<&'a [u8]> {
+        self.parameters().map_while(Result::ok).find(|p| p.0 == code).map(|p| p.1)
+    }
+
+    /// The same as text.
+    pub fn text(&self, code: u8) -> Option<&'a str> {
+        self.get(code).and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// The cause that a release gives; none where it gives no single byte.
+    pub fn cause(&self) -> Option<u8> {
+        self.get(code::CAUSE).filter(|value| value.len() == 1).map(|value| value[0])
+    }
+}
+
+/// A whole message; none where it would be larger than messages may be.
+pub fn write(kind: u8, session: u64, parameters: &[(u8, &[u8])]) -> Option<Vec<u8>> {
+    let length = HEAD + parameters.iter().map(|(_, value)| 3 + value.len()).sum::<usize>();
+    if length + LENGTH > MOST {
+        return None;
+    }
+    let mut out = Vec::with_capacity(LENGTH + length);
+    out.extend_from_slice(&(length as u16).to_be_bytes());
+    out.push(kind);
+    out.extend_from_slice(&session.to_be_bytes());
+    for (code, value) in parameters {
+        out.push(*code);
+        out.extend_from_slice(&(value.len() as u16).to_be_bytes());
+        out.extend_from_slice(value);
+    }
+    Some(out)
+}
