Take sessions that are handed over without a time limit of their own

The node's log at debug named each: 'time limit out of range' on set-ups that carry at. Ruled out: servers unknown to the list (the list was taken 0.2 ms after the start, before any) and figures out of range (checked after the limit). At fault: read_set_up in viewers.rs, which asked the same of a session that plays as of one that waits.

--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -278,10 +278,6 @@
         let title = message.text(code::TITLE).ok_or("no title")?;
         let digits = !title.is_empty() && title.len() <= 16 && title.bytes().all(|b| b.is_ascii_hexdigit());
         let number = u64::from_str_radix(title, 16).ok().filter(|_| digits).ok_or("title is no id")?;
-        let limit: f64 = message.text(code::LIMIT).and_then(|t| t.parse().ok()).ok_or("no time limit")?;
-        if !(limit > 0.0 && limit <= LONGEST) {
-            return Err("time limit out of range");
-        }
         if let Some(hint) = message.get(code::HINT) {
             let hint: Option<f64> = std::str::from_utf8(hint).ok().and_then(|t| t.parse().ok());
             if !hint.is_some_and(|h| (0.0..1e12).contains(&h)) {
@@ -310,7 +306,20 @@
         let (Some(first_cell), Some(holders), Some(top)) = (home, copies, top) else {
             return Err("figures are missing");
         };
-        let wish = Wish { product, title: number, first_cell, holders, top, came: now, limit: now + limit };
+        // Of a session that plays no clock runs any more.
+        let limit: f64 = message.text(code::LIMIT).and_then(|t| t.parse().ok()).ok_or("no time limit")?;
+        if at.is_none() && !(limit > 0.0 && limit <= LONGEST) {
+            return Err("time limit out of range");
+        }
+        let wish = Wish {
+            product,
+            title: number,
+            first_cell,
+            holders,
+            top,
+            came: now,
+            limit: now + limit.clamp(0.0, LONGEST),
+        };
         Ok(Asked { wish, class: class.to_string(), title: title.to_string(), description, at })
     }
 }
