--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -48,14 +48,24 @@
     pub limit: f64,
 }
 
-/// Small indices for wide ids, in order of first sight.
+/// Small indices for servers, in order of first sight; one that is gone for good gives its index back.
 #[derive(Default)]
-struct Indices(HashMap<u64, usize>);
+struct Servers {
+    by_id: HashMap<u32, usize>,
+    ids: Vec<u32>,
+    free: Vec<usize>,
+}
 
-impl Indices {
-    fn of(&mut self, id: u64) -> usize {
-        let next = self.0.len();
-        *self.0.entry(id).or_insert(next)
+impl Servers {
+    fn of(&mut self, id: u32) -> usize {
+        *self.by_id.entry(id).or_insert_with(|| {
+            let index = self.free.pop().unwrap_or_else(|| {
+                self.ids.push(id);
+                self.ids.len() - 1
+            });
+            self.ids[index] = id;
+            index
+        })
     }
 }
 
@@ -97,8 +107,7 @@
     slots: Vec<(u64, Option<f64>)>,
     free: Vec<usize>,
     by_id: HashMap<u64, usize>,
-    server_index: Indices,
-    server_ids: Vec<u32>,
+    servers: Servers,
     titles: Titles,
 }
 
@@ -110,8 +119,7 @@
             slots: Vec::new(),
             free: Vec::new(),
             by_id: HashMap::new(),
-            server_index: Indices::default(),
-            server_ids: Vec::new(),
+            servers: Servers::default(),
             titles: Titles::default(),
         }
     }
@@ -148,6 +156,28 @@
         self.front.list(now, whole, cached, &lines);
     }
 
+    /// A server is listed as gone and its id will not come again: what is known of it is given back, unless a play in hand
+    /// still goes by it. True once nothing is left.
+    pub fn forget_server(&mut self, id: u32) -> bool {
+        let Some(&s) = self.servers.by_id.get(&id) else { return true };
+        let named = |play: &Play| {
+            play.server == Some(s) || play.tried.contains(&s) || play.ran_at.is_some_and(|(at, _)| at == s)
+        };
+        if self.by_id.values().any(|ply| named(&self.plays[*ply])) {
+            return false;
+        }
+        self.front.forget(s);
+        self.servers.by_id.remove(&id);
+        self.servers.free.push(s);
+        true
+    }
+
+    /// How many plays are out to a server or play there, for a host's records.
+    pub fn held_at(&self, id: u32) -> usize {
+        let Some(&s) = self.servers.by_id.get(&id) else { return 0 };
+        self.by_id.values().filter(|ply| self.plays[**ply].server == Some(s)).count()
+    }
+
     /// A viewer asks for a play that has not been in hand before.
     pub fn take(&mut self, now: f64, id: u64, wish: &Wish, hands: &mut impl Hands) {
         let ply = self.keep(id, wish);
@@ -240,11 +270,7 @@
     }
 
     fn server(&mut self, id: u32) -> usize {
-        let index = self.server_index.of(id.into());
-        if index == self.server_ids.len() {
-            self.server_ids.push(id);
-        }
-        index
+        self.servers.of(id)
     }
 
     fn keep(&mut self, id: u64, wish: &Wish) -> usize {
@@ -271,12 +297,12 @@
         self.steps(now, &steps, hands);
         match place {
             Place::Send { server, rung, time_out } => {
-                hands.send(id, self.server_ids[server], rung, time_out);
+                hands.send(id, self.servers.ids[server], rung, time_out);
             }
             Place::Stays { rung } if rung != was => hands.step(id, rung),
             Place::Stays { .. } => {}
             Place::NotYet { sound_out } => {
-                sound_out.iter().for_each(|server| hands.probe(self.server_ids[*server]));
+                sound_out.iter().for_each(|server| hands.probe(self.servers.ids[*server]));
             }
             Place::Declined { pause } => hands.declined(id, pause),
             Place::Failed => hands.failed(id),
--- a/crates/desk/tests/memory.rs
+++ b/crates/desk/tests/memory.rs
@@ -126,3 +126,45 @@
     let grown = HELD.load(Ordering::Relaxed) - warmed_up;
     assert!(grown < 8_192, "{grown} bytes more for titles that are gone");
 }
+
+#[test]
+fn servers_that_are_gone_for_good_are_forgotten() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut desk = Desk::new(sheet(), 1);
+    let line = |cell: usize| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+    let replace = |desk: &mut Desk, from: u32, lists: u32| {
+        for list in from..from + lists {
+            let lines: Vec<(u32, Listing)> = (0..4).map(|s| (list * 4 + s, line(s as usize))).collect();
+            desk.list(f64::from(list), true, false, &lines);
+            run(desk, u64::from(list) * 50, 50, 5, true);
+            assert!(
+                list == 0 || (0..4).all(|s| desk.forget_server((list - 1) * 4 + s)),
+                "none is held there"
+            );
+        }
+    };
+    replace(&mut desk, 0, 20);
+    let warmed_up = HELD.load(Ordering::Relaxed);
+    replace(&mut desk, 20, 200);
+    let grown = HELD.load(Ordering::Relaxed) - warmed_up;
+    assert!(grown < 8_192, "{grown} bytes more for servers that are gone");
+}
+
+#[test]
+fn a_server_is_not_forgotten_while_a_play_goes_by_it() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let (mut desk, mut host) = (Desk::new(sheet(), 1), Host::default());
+    let line = Listing { standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+    desk.list(0.0, true, false, &[(7, line)]);
+    let wish = Wish { product: 0, title: 1, first_cell: 0, holders: 1, top: 0, came: 1.0, limit: 3000.0 };
+    desk.take(1.0, 1, &wish, &mut host);
+    desk.playing(2.0, 1, &mut host);
+    desk.list(3.0, true, false, &[]);
+    assert!(!desk.forget_server(7) && desk.held_at(7) == 1);
+    desk.ended(4.0, 1, 7, pulleystair::Outcome::Finished, true, &[], &mut host);
+    assert!(desk.forget_server(7) && desk.held_at(7) == 0);
+    // Its index is another's now: that one is no worse for it.
+    desk.list(5.0, true, false, &[(8, line)]);
+    desk.take(6.0, 2, &Wish { came: 6.0, ..wish }, &mut host);
+    assert_eq!(host.sent, Some(8));
+}
--- a/crates/fuzzed/src/lib.rs
+++ b/crates/fuzzed/src/lib.rs
@@ -6,6 +6,9 @@
 use pulleystair_dash::mpd;
 use pulleystair_dash::token::{Fault, LONGEST, Ring};
 use pulleystair_edge::http::{self, Body, Chunks};
+use pulleystair_names as names;
+use pulleystair_rtsp as rtsp;
+use pulleystair_signal as signal;
 
 /// An MPD that reads is written so that it reads as the same, and its segments can be asked for.
 pub fn mpd(bytes: &[u8]) {
@@ -124,3 +127,78 @@
         assert!(figures.copied().all(f64::is_finite), "{report:?}");
     }
 }
+
+/// What a reader of messages makes of bytes that come in parts of this size: the messages, and whether it went wrong.
+fn in_parts<M>(
+    bytes: &[u8],
+    part: usize,
+    read: impl Fn(&[u8]) -> Result<Option<(M, usize)>, String>,
+) -> (Vec<M>, Option<String>) {
+    let (mut input, mut messages) = (Vec::new(), Vec::new());
+    for part in bytes.chunks(part) {
+        input.extend_from_slice(part);
+        loop {
+            match read(&input) {
+                Ok(None) => break,
+                Ok(Some((message, used))) => {
+                    assert!(used > 0 && used <= input.len(), "it takes what is there");
+                    input.drain(..used);
+                    messages.push(message);
+                }
+                Err(e) => return (messages, Some(e)),
+            }
+        }
+    }
+    (messages, None)
+}
+
+/// The same messages come of the same bytes, however they are cut. Whether what is left went wrong may be known earlier in
+/// larger parts, but never goes unnoticed in them.
+fn cut_anyhow<M: PartialEq + std::fmt::Debug>(
+    bytes: &[u8],
+    read: impl Fn(&[u8]) -> Result<Option<(M, usize)>, String>,
+) {
+    let (whole, fault) = in_parts(bytes, bytes.len().max(1), &read);
+    for part in [1, 7, 1000] {
+        let (messages, wrong) = in_parts(bytes, part, &read);
+        assert_eq!(messages, whole);
+        assert_eq!(wrong.is_some(), fault.is_some(), "{wrong:?} in parts of {part}, {fault:?} in one");
+    }
+}
+
+/// Viewers' messages, what a message reads as when it is written again, and its parameters within its bounds.
+pub fn signal(bytes: &[u8]) {
+    cut_anyhow(bytes, |input| {
+        let read = signal::Message::read(input).map_err(|e| e.to_string())?;
+        Ok(read.map(|(message, used)| {
+            let parameters: Vec<_> = message.parameters().map_while(Result::ok).collect();
+            if message.parameters().all(|p| p.is_ok()) {
+                let again = signal::write(message.kind, message.session, &parameters);
+                assert_eq!(again.as_deref(), Some(&input[..used]), "it is written as it was read");
+            }
+            let parameters: Vec<_> =
+                parameters.into_iter().map(|(code, value)| (code, value.to_vec())).collect();
+            ((message.kind, message.session, parameters), used)
+        }))
+    });
+}
+
+/// Media servers' messages.
+pub fn rtsp(bytes: &[u8]) {
+    cut_anyhow(bytes, |input| {
+        let read = rtsp::Message::read(input).map_err(|e| e.to_string())?;
+        if let Some((message, used)) = &read {
+            assert!(*used <= rtsp::MOST && message.body.len() < *used);
+            assert!(message.report().all(|(_, value)| value.is_finite()));
+        }
+        Ok(read)
+    });
+}
+
+/// Answers of the name service: read or refused, and never a list that is not whole.
+pub fn names(bytes: &[u8]) {
+    let Ok((_, list)) = names::answer(bytes) else { return };
+    for entry in list {
+        assert!(!entry.id.is_empty() && entry.weight.is_finite() && entry.started.is_finite(), "{entry:?}");
+    }
+}
--- a/crates/fuzzed/tests/corpora.rs
+++ b/crates/fuzzed/tests/corpora.rs
@@ -7,6 +7,9 @@
 #[test_case("token", pulleystair_fuzzed::token; "tokens")]
 #[test_case("request", pulleystair_fuzzed::request; "requests, targets, ranges and answers")]
 #[test_case("orca", pulleystair_fuzzed::orca; "load reports")]
+#[test_case("signal", pulleystair_fuzzed::signal; "viewers' messages")]
+#[test_case("rtsp", pulleystair_fuzzed::rtsp; "media servers' messages")]
+#[test_case("names", pulleystair_fuzzed::names; "the name service's answers")]
 fn nothing_kept_in_a_corpus_breaks_anything(name: &str, holds: fn(&[u8])) {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../fuzz/corpus").join(name);
     let mut count = 0;
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -259,10 +259,7 @@
     /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
     pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
         let Some(bytes) = signal::write(kind::RELEASE, play, &[(code::CAUSE, &[cause])]) else { return };
-        let key = match self.lines.get(viewer) {
-            Some(line) if !line.ended => Some(viewer),
-            _ => self.way_to(from),
-        };
+        let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
         match key {
             Some(key) => drop(self.write_viewer(key, &bytes)),
             None if self.owed.len() < OWED_MOST => {
@@ -273,21 +270,35 @@
         }
     }
 
+    /// Whether a viewer's connection is still open at its other end, as far as can be told.
+    fn is_there(&mut self, key: Key) -> bool {
+        let Some(line) = self.lines.get(key) else { return false };
+        // What comes meanwhile is taken off at the line's own turn.
+        if line.read(UNREAD) || line.ended {
+            self.again.push_back(key);
+        }
+        self.lines.get(key).is_some_and(|line| !line.ended)
+    }
+
     /// The latest connection on which a viewer of that address has asked for something, else of any.
     fn way_to(&mut self, from: Option<IpAddr>) -> Option<Key> {
-        let mut other = None;
-        for key in self.viewers.iter().rev() {
-            let Some(line) = self.lines.get(*key) else { continue };
-            let Role::Viewer(viewer) = &line.role else { continue };
-            if line.ended || !viewer.proven || viewer.leaving {
-                continue;
-            }
-            if line.from() == from {
-                return Some(*key);
+        let asks = |key: &Key, lines: &mut Lines| match lines.get(*key) {
+            Some(line) if line.from() == from => {
+                matches!(&line.role, Role::Viewer(v) if v.proven && !v.leaving)
             }
-            other.get_or_insert(*key);
+            _ => false,
+        };
+        let any = |key: &Key, lines: &mut Lines| match lines.get(*key) {
+            Some(line) => matches!(&line.role, Role::Viewer(v) if v.proven && !v.leaving),
+            None => false,
+        };
+        let viewers: Vec<Key> = self.viewers.iter().rev().copied().collect();
+        let own: Vec<Key> = viewers.iter().copied().filter(|key| asks(key, &mut self.lines)).collect();
+        if let Some(key) = own.into_iter().find(|key| self.is_there(*key)) {
+            return Some(key);
         }
-        other
+        let all: Vec<Key> = viewers.into_iter().filter(|key| any(key, &mut self.lines)).collect();
+        all.into_iter().find(|key| self.is_there(*key))
     }
 
     /// A viewer's connection has proven to be one: what is owed goes out on it.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,7 +3,7 @@
 //!
 //! A play's way: `viewers` takes the set-up, the desk sends it ([`Floor::send`]), `servers` takes the answer and hands it on.
 
-use crate::floor::{Clock, Floor, Role};
+use crate::floor::{Clock, Floor, Role, Server};
 use crate::listing::Asking;
 use crate::posting::Posting;
 use calloop::generic::Generic;
@@ -14,8 +14,9 @@
 use pulleystair_lines::{Key, Owner};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener};
-use tracing::{debug, info};
+use tracing::{debug, enabled, info};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -62,6 +63,7 @@
     let handle = event_loop.handle();
     let at = posting.listen;
     let listener = listen(at).map_err(|e| anyhow::anyhow!("listen: {at} can't be had: {e}"))?;
+    let at = listener.local_addr()?;
     let desk = Desk::new(posting.sheet.clone(), posting.salt);
     let floor = Floor::new(posting, handle.clone());
     let asking = Asking::new(&floor, None, false)?;
@@ -111,6 +113,9 @@
                 Clock::Ask => self.ask(),
                 Clock::Look => {
                     self.look_at_servers(now);
+                    if enabled!(target: "belief", tracing::Level::DEBUG) {
+                        self.write_beliefs();
+                    }
                     self.floor.clock(now + LOOK, Clock::Look);
                 }
                 Clock::Sums => {
@@ -118,6 +123,7 @@
                     info!(target: "sums", sums = ?floor.sums, open = floor.deciding, sessions = floor.sessions.len(),
                         held = self.desk.held(), viewers = floor.viewers_open, wires = floor.wires_open,
                         servers = floor.servers.len(), owed = floor.owed.len(), clocks = floor.clocks.len());
+                    self.forget_gone();
                     self.floor.clock(now + SUMS, Clock::Sums);
                 }
                 Clock::Stop => self.halted = true,
@@ -183,17 +189,15 @@
         self.stood(play, number, Outcome::Broken, crate::floor::FAILED, &[]);
     }
 
-    /// Numbers of servers that are gone and have nothing left are given back.
+    /// Servers that are gone and have nothing left are forgotten, in every layer.
     pub(crate) fn forget_gone(&mut self) {
-        let floor = &mut self.floor;
-        let out: std::collections::HashSet<u32> = floor.sessions.values().filter_map(|s| s.server).collect();
-        let gone: Vec<u32> = floor
-            .servers
-            .iter()
-            .filter(|(n, s)| s.listing.standing == Standing::Gone && s.address.is_some() && !out.contains(n))
-            .map(|(n, _)| *n)
-            .collect();
-        for number in gone {
+        let held: HashSet<u32> = self.floor.sessions.values().filter_map(|s| s.server).collect();
+        let gone = |s: &Server| s.listing.standing == Standing::Gone && s.address.is_some();
+        let gone = self.floor.servers.iter().filter(|(n, s)| gone(s) && !held.contains(n)).map(|(n, _)| *n);
+        for number in gone.collect::<Vec<u32>>() {
+            if !self.desk.forget_server(number) {
+                continue;
+            }
             let Some(server) = self.floor.servers.remove(&number) else { continue };
             self.floor.numbers.remove(&server.id);
             for key in server.lines {
@@ -201,4 +205,21 @@
             }
         }
     }
+
+    /// What is believed of each server, to be held against its sockets.
+    fn write_beliefs(&mut self) {
+        let mut numbers: Vec<u32> = self.floor.servers.keys().copied().collect();
+        numbers.sort_unstable();
+        for number in numbers {
+            let Some(server) = self.floor.servers.get(&number) else { continue };
+            let (id, playing, standing) = (server.id.clone(), server.playing, server.listing.standing);
+            let lines = server.lines.clone();
+            let open = |key: &Key| match self.floor.lines.get(*key).map(|line| &line.role) {
+                Some(Role::Server(wire)) => wire.open.len(),
+                _ => 0,
+            };
+            let out: usize = lines.iter().map(open).sum();
+            debug!(target: "belief", id, ?standing, playing, out, held = self.desk.held_at(number), lines = lines.len());
+        }
+    }
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,9 +1,9 @@
 //! What comes from media servers: answers to set-ups, the notes and ends of sessions that stand, reports, and the loss of
 //! connections.
 
-use crate::floor::{ENDED, FAILED, News, Role, WITHDRAWN};
+use crate::floor::{ENDED, FAILED, News, Role, Server, WITHDRAWN};
 use crate::node::Node;
-use pulleystair::{Figure, Outcome};
+use pulleystair::{Figure, Outcome, Standing};
 use pulleystair_lines::Key;
 use pulleystair_rtsp::{Message, Start};
 use pulleystair_signal::{self as signal, code, kind};
@@ -259,18 +259,28 @@
             self.allocation_ended(play, number, outcome, &[]);
         }
         if let Some(server) = self.floor.servers.get_mut(&number) {
-            if !up {
-                server.lost += 1;
-            }
-            if server.playing > 0 && server.lines.is_empty() {
-                if server.lost >= CALLS || self.floor.dial(number).is_none() {
+            server.lost += u32::from(!up);
+            if server.playing > 0 {
+                if server.lost >= CALLS {
                     self.server_lost(number);
+                } else if server.lines.is_empty() {
+                    self.call(number);
                 }
             }
         }
         self.settle();
     }
 
+    /// Makes a connection to a server that has plays and none: it may have something to say, or be gone.
+    fn call(&mut self, number: u32) {
+        let gone = |s: &Server| s.address.is_none() || s.listing.standing == Standing::Gone;
+        if self.floor.servers.get(&number).is_some_and(gone) {
+            return self.server_lost(number);
+        }
+        // One that can't be dialled for want of descriptors is called at the next look.
+        let _ = self.floor.dial(number);
+    }
+
     /// Nothing that stands at a server is there any more.
     fn server_lost(&mut self, number: u32) {
         let plays = self.floor.standing_at(number);
@@ -278,31 +288,28 @@
         for play in plays {
             self.stood(play, number, Outcome::Broken, FAILED, &[]);
         }
-        if let Some(server) = self.floor.servers.get_mut(&number) {
-            server.lost = 0;
+        let Some(server) = self.floor.servers.get_mut(&number) else { return };
+        server.lost = 0;
+        for key in server.lines.clone() {
+            self.wire_lost(key);
         }
     }
 
     /// Servers with plays that have been silent for longer than their notes are apart are called anew.
     pub(crate) fn look_at_servers(&mut self, now: f64) {
         let most = self.floor.terms.tells * 1.25 + SILENCE;
-        let silent: Vec<u32> = self
-            .floor
-            .servers
-            .iter()
-            .filter(|(_, s)| s.playing > 0 && now - s.heard > most)
-            .map(|(n, _)| *n)
-            .collect();
+        let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() || now - s.heard > most);
+        let mut silent: Vec<u32> =
+            self.floor.servers.iter().filter(|(_, s)| silent(s)).map(|(number, _)| *number).collect();
+        silent.sort_unstable();
         for number in silent {
-            let Some(server) = self.floor.servers.get(&number) else { continue };
-            let calling = server.lines.clone().into_iter().any(|key| {
-                self.floor.lines.get(key).is_some_and(|line| matches!(&line.role, Role::Server(w) if !w.up))
-            });
-            if calling {
-                continue;
-            }
-            if self.floor.dial(number).is_none() {
-                self.server_lost(number);
+            let lines = self.floor.servers.get(&number).map(|s| s.lines.clone()).unwrap_or_default();
+            let calling = |key: &Key| match self.floor.lines.get(*key).map(|line| &line.role) {
+                Some(Role::Server(wire)) => !wire.up,
+                _ => false,
+            };
+            if !lines.iter().any(calling) {
+                self.call(number);
             }
         }
     }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -22,6 +22,10 @@
 /// The longest time that a viewer may say that it waits, ms.
 const LONGEST: f64 = 600_000.0;
 
+/// `EMFILE`, `ENFILE`: no descriptor is left.
+const TOO_MANY: i32 = 24;
+const TOO_MANY_IN_ALL: i32 = 23;
+
 /// A set-up as it was read.
 struct Asked {
     wish: Wish,
@@ -38,6 +42,12 @@
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => continue,
+                // Out of descriptors: whoever waits gets the place of one that has brought nothing.
+                Err(e)
+                    if matches!(e.raw_os_error(), Some(TOO_MANY | TOO_MANY_IN_ALL)) && self.make_room() =>
+                {
+                    continue;
+                }
                 Err(_) => return,
             };
             if self.floor.viewers_open >= self.floor.shares.viewers && !self.make_room() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,6 +322,13 @@
         }
     }
 
+    /// A server is gone for good: its index may be another's from now on.
+    pub fn forget(&mut self, s: usize) {
+        if let Some(server) = self.servers.get_mut(s) {
+            *server = Server::default();
+        }
+    }
+
     /// A play was taken.
     pub fn take(&mut self, now: f64, play: &mut Play) {
         if self.sheet.contains_key("rules.budget_share") {
