--- a/src/logic.rs
+++ b/src/logic.rs
@@ -828,16 +828,22 @@
         play.top.min(self.products[play.product].top).min(self.ladder.len() - 1)
     }
 
-    /// One rung up after the quiet spell, where this front's part of the room carries it.
+    /// Up after the quiet spell, as far as this front's part of the room carries.
     fn step_up(&mut self, now: f64, plays: &mut [Play], ply: usize) -> (Place, Steps) {
         let rung = plays[ply].rung;
         let Some(s) = plays[ply].server.filter(|_| now >= plays[ply].ask_at - 0.01) else {
             return (Place::Stays { rung }, Vec::new());
         };
         plays[ply].ask_at = now + self.spell();
-        if rung < self.top(&plays[ply]) && s < self.servers.len() {
-            let more = self.next_rung(plays, s, ply, rung);
-            if more <= self.room(plays, s) / self.servers[s].link.fronts {
+        if s < self.servers.len() {
+            // A change costs the same however far it goes, so it goes as far as the room does.
+            let mut part = self.room(plays, s) / self.servers[s].link.fronts;
+            while plays[ply].rung < self.top(&plays[ply]) {
+                let more = self.next_rung(plays, s, ply, plays[ply].rung);
+                if more > part {
+                    break;
+                }
+                part -= more;
                 plays[ply].rung += 1;
                 self.load(now, s, more);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -125,19 +125,20 @@
     assert!(rungs.iter().all(|r| *r >= 1), "{rungs:?}");
 }
 
-#[test]
-fn a_step_up_waits_for_the_quiet_spell_and_for_room() {
+#[test_case(0.1, 2; "room for the top")]
+#[test_case(0.7, 1; "room for one rung more")]
+fn a_step_up_waits_for_the_quiet_spell_and_goes_as_far_as_the_room(share: f64, expected: usize) {
     let mut host = Host::new(&[]);
     host.measure(0, 0.8);
     let (ply, _) = host.start(0, 1);
-    let low = host.plays[ply].rung;
+    assert_eq!(host.plays[ply].rung, 0);
     assert!(host.front.wait(host.now, &host.plays[ply]).unwrap() >= 5000.0);
-    assert_eq!(host.ask(ply), Place::Stays { rung: low }, "not before its spell is over");
+    assert_eq!(host.ask(ply), Place::Stays { rung: 0 }, "not before its spell is over");
     host.now += 11_000.0;
-    assert_eq!(host.ask(ply), Place::Stays { rung: low }, "no room yet");
+    assert_eq!(host.ask(ply), Place::Stays { rung: 0 }, "no room yet");
     host.now += 11_000.0;
-    host.measure(0, 0.1);
-    assert_eq!(host.ask(ply), Place::Stays { rung: low + 1 });
+    host.measure(0, share);
+    assert_eq!(host.ask(ply), Place::Stays { rung: expected });
 }
 
 #[test]
