--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -198,7 +198,7 @@
     }
 
     pub(crate) fn answer(&mut self, key: Key, answer: &Final) {
-        let keep_alive = self.lines.get(key).is_some_and(|line| line.keep_alive);
+        let keep_alive = self.lines.get(key).is_some_and(|line| !line.manner.last);
         self.write_answer(key, answer, keep_alive);
         self.answered(key);
     }
@@ -207,7 +207,7 @@
     pub(crate) fn leave(&mut self, key: Key, answer: &Final) {
         self.write_answer(key, answer, false);
         if let Some(line) = self.lines.get(key) {
-            line.keep_alive = false;
+            line.manner.last = true;
         }
         self.answered(key);
     }
@@ -238,7 +238,7 @@
         let mut out = Vec::with_capacity(answer.body.len() + 256);
         http::head(&mut out, answer.status, answer.body.len() as u64, keep_alive, &more);
         if let Some(line) = self.lines.get(key) {
-            if !line.bare && answer.status != 204 {
+            if !line.manner.bare && answer.status != 204 {
                 out.extend_from_slice(answer.body.as_bytes());
             }
             line.write(&out);
@@ -253,7 +253,7 @@
         let (idle, slow, rate) = (limits.idle_ms, limits.slow_reader_ms, limits.slow_reader_kb);
         let Some(line) = self.lines.get(key) else { return };
         let pending = line.pending();
-        let leaving = !line.keep_alive;
+        let leaving = line.manner.last;
         if !line.input.is_empty() {
             self.woken.push(key);
         }
@@ -677,7 +677,7 @@
         let due = self.now() + limits.slow_reader_ms + of.length as f64 / limits.slow_reader_kb;
         let Some(line) = self.lines.get(player) else { return };
         let mut out = Vec::new();
-        http::head(&mut out, of.status, of.length, line.keep_alive, &more);
+        http::head(&mut out, of.status, of.length, !line.manner.last, &more);
         line.write(&out);
         self.set_due(player, due);
     }
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -5,7 +5,16 @@
 use crate::reading::Reading;
 pub use pulleystair_lines::Key;
 
-pub type Lines = pulleystair_lines::Lines<Edge, Role>;
+pub type Lines = pulleystair_lines::Lines<Edge, Role, Manner>;
+
+/// How a player's request wants to be answered.
+#[derive(Default)]
+pub struct Manner {
+    /// The connection is closed after the answer.
+    pub last: bool,
+    /// The answer's head is wanted without its body.
+    pub bare: bool,
+}
 
 pub enum Role {
     /// A player's connection.
--- a/crates/edge/src/players.rs
+++ b/crates/edge/src/players.rs
@@ -3,7 +3,7 @@
 use crate::edge::Edge;
 use crate::floor::{Clock, words};
 use crate::http;
-use crate::lines::{Doing, Errand, Key, Role, What};
+use crate::lines::{Doing, Errand, Key, Manner, Role, What};
 use crate::reading::Reading;
 use crate::rundown::Effect;
 use crate::sessions::{Asked, Final, Life, Request};
@@ -116,8 +116,7 @@
                 }
                 Ok(Some((request, used))) => {
                     line.input.drain(..used);
-                    line.keep_alive = request.keep_alive;
-                    line.bare = request.method == "HEAD";
+                    line.manner = Manner { last: !request.keep_alive, bare: request.method == "HEAD" };
                     line.due = f64::INFINITY;
                     self.request(key, &request);
                 }
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -19,16 +19,15 @@
 /// Bytes that are handed to a seal at a time.
 const SEALED: usize = 64 << 10;
 
-pub struct Line<R> {
+pub struct Line<R, M = ()> {
     stream: Rc<TcpStream>,
     seal: Option<Box<Seal>>,
     /// Why the handshake, or what came under the seal, was not taken.
     pub unsealed: Option<rustls::Error>,
     source: RegistrationToken,
     pub role: R,
-    pub keep_alive: bool,
-    /// The answer's head is wanted without its body.
-    pub bare: bool,
+    /// How the owner is to go about what it now does on it.
+    pub manner: M,
     pub input: Vec<u8>,
     output: Vec<u8>,
     sent: usize,
@@ -44,7 +43,7 @@
     shaken: bool,
 }
 
-impl<R> Line<R> {
+impl<R, M> Line<R, M> {
     /// Reads what is there until `input` holds `most` bytes; true if anything came.
     pub fn read(&mut self, most: usize) -> bool {
         let before = self.input.len();
@@ -217,14 +216,14 @@
     fn line_ready(&mut self, key: Key);
 }
 
-pub struct Lines<O: Owner, R> {
-    lines: Slab<(u32, Line<R>)>,
+pub struct Lines<O: Owner, R, M = ()> {
+    lines: Slab<(u32, Line<R, M>)>,
     generation: u32,
     handle: LoopHandle<'static, O>,
 }
 
-impl<O: Owner, R> Lines<O, R> {
-    pub fn new(handle: LoopHandle<'static, O>) -> Lines<O, R> {
+impl<O: Owner, R, M: Default> Lines<O, R, M> {
+    pub fn new(handle: LoopHandle<'static, O>) -> Lines<O, R, M> {
         Lines { lines: Slab::new(), generation: 0, handle }
     }
 
@@ -249,8 +248,7 @@
             unsealed: None,
             source,
             role,
-            keep_alive: true,
-            bare: false,
+            manner: M::default(),
             input: Vec::new(),
             output: Vec::new(),
             sent: 0,
@@ -266,7 +264,7 @@
         Ok(key)
     }
 
-    pub fn get(&mut self, key: Key) -> Option<&mut Line<R>> {
+    pub fn get(&mut self, key: Key) -> Option<&mut Line<R, M>> {
         let (generation, line) = self.lines.get_mut(key as u32 as usize)?;
         (*generation == (key >> 32) as u32).then_some(line)
     }
@@ -306,7 +304,7 @@
     #[test]
     fn a_server_that_read_the_request_and_reset_was_reached() {
         let event_loop = EventLoop::<'static, Nobody>::try_new().expect("a loop");
-        let mut lines = Lines::new(event_loop.handle());
+        let mut lines: Lines<Nobody, ()> = Lines::new(event_loop.handle());
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let stream = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
         let key = lines.open(stream, None, ()).expect("a line");
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -282,23 +282,20 @@
 
     /// The latest connection on which a viewer of that address has asked for something, else of any.
     fn way_to(&mut self, from: Option<IpAddr>) -> Option<Key> {
-        let asks = |key: &Key, lines: &mut Lines| match lines.get(*key) {
-            Some(line) if line.from() == from => {
-                matches!(&line.role, Role::Viewer(v) if v.proven && !v.leaving)
+        let mut other = None;
+        for key in self.viewers.clone().into_iter().rev() {
+            let Some(line) = self.lines.get(key) else { continue };
+            let asks = matches!(&line.role, Role::Viewer(viewer) if viewer.proven && !viewer.leaving);
+            let own = line.from() == from;
+            if !asks || !own && other.is_some() || !self.is_there(key) {
+                continue;
             }
-            _ => false,
-        };
-        let any = |key: &Key, lines: &mut Lines| match lines.get(*key) {
-            Some(line) => matches!(&line.role, Role::Viewer(v) if v.proven && !v.leaving),
-            None => false,
-        };
-        let viewers: Vec<Key> = self.viewers.iter().rev().copied().collect();
-        let own: Vec<Key> = viewers.iter().copied().filter(|key| asks(key, &mut self.lines)).collect();
-        if let Some(key) = own.into_iter().find(|key| self.is_there(*key)) {
-            return Some(key);
+            if own {
+                return Some(key);
+            }
+            other = Some(key);
         }
-        let all: Vec<Key> = viewers.into_iter().filter(|key| any(key, &mut self.lines)).collect();
-        all.into_iter().find(|key| self.is_there(*key))
+        other
     }
 
     /// A viewer's connection has proven to be one: what is owed goes out on it.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -253,6 +253,9 @@
         let Role::Server(wire) = &mut line.role else { return };
         let (number, open) = (wire.server, std::mem::take(&mut wire.open));
         self.floor.drop_wire(key);
+        let (playing, left) = self.floor.servers.get(&number).map_or((0, 0), |s| (s.playing, s.lines.len()));
+        let id = self.floor.id_of(number);
+        debug!(target: "server", id, up, open = open.len(), playing, left, "line lost");
         for (play, begins) in open {
             // Nothing of a set-up that has not begun to leave can have run.
             let outcome = if !up || gone <= begins { Outcome::Unreachable } else { Outcome::Broken };
