--- a/src/logic.rs
+++ b/src/logic.rs
@@ -537,8 +537,8 @@
             (plays[ply].playing, plays[ply].started) = (true, now);
             plays[ply].ask_at = now + self.spell();
             self.servers[s].heard(true);
-            // Served here, so the errors met elsewhere were the servers' own. Guards against plays that nobody can
-            // serve making every server doubted; a server that fails is found out one set-up later.
+            // Served here, so errors met elsewhere were the servers' own. Guards against plays that nobody
+            // can serve making every server doubted; a server that fails is found out one set-up later.
             std::mem::take(&mut plays[ply].erred).iter().for_each(|e| self.servers[*e].heard(false));
             return Next::Nothing;
         }
