Share the clocks and the making of connections between edge and node

The node had written both again. Its clocks rounded down where the edge's round up: one set for 1000.0004 ms rang at 1000.0, was passed over by the desk as not yet due, and would not ring again. Clocks and connect now stand in crates/lines, called by both fronts; a test that failed on rounding down holds it.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -23,10 +23,10 @@
 use pulleystair_admission::wall::Wall;
 use pulleystair_desk::Desk;
 use pulleystair_lines::Owner;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use pulleystair_lines::clocks::Clocks;
+use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tracing::{debug, info, warn};
 use tracing_appender::non_blocking::ErrorCounter;
 
@@ -95,7 +95,7 @@
     })?;
     info!(target: "front", %address, servers = edge.floor.servers.len(), "listens");
     while !edge.floor.done() {
-        let wait = edge.floor.next_clock();
+        let wait = edge.floor.clocks.wait();
         event_loop.dispatch(wait, &mut edge)?;
         edge.ring();
         let now = edge.floor.now();
@@ -178,14 +178,13 @@
             next_title: 0,
             servers: Vec::new(),
             server_numbers: HashMap::new(),
-            clocks: BinaryHeap::new(),
+            clocks: Clocks::new(since.as_secs_f64() * 1000.0),
             news: VecDeque::new(),
             players: 0,
             fetchers: HashMap::new(),
             errands_out: 0,
             woken: Vec::new(),
             run: format!("{:x}-{:x}", since.as_millis() as u64, std::process::id()),
-            started: (Instant::now(), since.as_secs_f64() * 1000.0),
             tally: Tally::default(),
             tallied: (Tally::default(), 0),
             dropped,
@@ -225,11 +224,8 @@
     fn ring(&mut self) {
         loop {
             let now = self.floor.now();
-            if self.floor.clocks.peek().is_none_or(|c| c.0.0 as f64 / 1000.0 > now) {
-                return;
-            }
-            let Some(Reverse((due, clock))) = self.floor.clocks.pop() else { return };
-            self.floor.lag.rang(now, due as f64 / 1000.0);
+            let Some((due, clock)) = self.floor.clocks.pop(now) else { return };
+            self.floor.lag.rang(now, due);
             match clock {
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -21,12 +21,12 @@
 use pulleystair_dash::mpd::Presentation;
 use pulleystair_dash::token::{Fault, Pass, Ring};
 use pulleystair_desk::Hands;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use pulleystair_lines::clocks::Clocks;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, UNIX_EPOCH};
+use std::time::{Duration, UNIX_EPOCH};
 use tracing::{debug, error, info};
 use tracing_appender::non_blocking::ErrorCounter;
 
@@ -102,7 +102,7 @@
     pub(crate) next_title: usize,
     pub(crate) servers: Vec<Server>,
     pub(crate) server_numbers: HashMap<String, u32>,
-    pub(crate) clocks: BinaryHeap<Reverse<(u64, Clock)>>,
+    pub(crate) clocks: Clocks<Clock>,
     pub(crate) news: VecDeque<News>,
     pub(crate) players: usize,
     /// The pooled connection that fetches for a player, and how many errands are out or wait.
@@ -112,7 +112,6 @@
     pub(crate) woken: Vec<Key>,
     /// Names this run of this front in the names of its allocations.
     pub(crate) run: String,
-    pub(crate) started: (Instant, f64),
     pub(crate) tally: Tally,
     /// The sums as they were last written, and the log's count of lines that it dropped.
     pub(crate) tallied: (Tally, usize),
@@ -129,7 +128,7 @@
 impl Floor {
     /// ms since 1970, never going back.
     pub(crate) fn now(&self) -> f64 {
-        self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
+        self.clocks.now()
     }
 
     /// ms since 1970 as tokens and live titles have it.
@@ -138,12 +137,7 @@
     }
 
     pub(crate) fn clock(&mut self, at: f64, clock: Clock) {
-        self.clocks.push(Reverse(((at * 1000.0).max(0.0).ceil() as u64, clock)));
-    }
-
-    pub(crate) fn next_clock(&self) -> Option<Duration> {
-        let next = self.clocks.peek()?.0.0 as f64 / 1000.0;
-        Some(Duration::from_secs_f64((next - self.now()).max(0.0) / 1000.0))
+        self.clocks.set(at, clock);
     }
 
     pub(crate) fn done(&self) -> bool {
@@ -424,16 +418,7 @@
 
     pub(crate) fn dial(&mut self, server: u32, role: Role) -> io::Result<Key> {
         let address = self.servers[server as usize].address;
-        let domain = socket2::Domain::for_address(address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&address.into()) {
-            Ok(()) => {}
-            // Under way (EINPROGRESS).
-            Err(e) if e.raw_os_error() == Some(115) => {}
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
+        let stream = pulleystair_lines::connect(address)?;
         let seal = match &self.seals.servers {
             Some(sealed) => {
                 let name =
@@ -444,7 +429,7 @@
             }
             None => None,
         };
-        self.lines.open(TcpStream::from(socket), seal, role)
+        self.lines.open(stream, seal, role)
     }
 
     /// Has the errand run on an idle connection, a new one, or once one comes free.
--- /dev/null
+++ b/crates/lines/src/clocks.rs
@@ -0,0 +1,64 @@
+//! What falls due on a loop, and the time that the loop goes by.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+/// Clocks that were set and have not rung. One that is set is never taken back.
+pub struct Clocks<C: Ord> {
+    set: BinaryHeap<Reverse<(u64, C)>>,
+    started: (Instant, f64),
+}
+
+impl<C: Ord> Clocks<C> {
+    /// From one reading of the wall clock, Unix ms.
+    pub fn new(unix: f64) -> Clocks<C> {
+        Clocks { set: BinaryHeap::new(), started: (Instant::now(), unix) }
+    }
+
+    /// Unix ms, which no step of the wall clock moves.
+    pub fn now(&self) -> f64 {
+        self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Rounded up: one that rang before its time would be passed over, and not ring again.
+    pub fn set(&mut self, at: f64, clock: C) {
+        self.set.push(Reverse(((at * 1000.0).max(0.0).ceil() as u64, clock)));
+    }
+
+    /// How long until the next rings; none where none is set.
+    pub fn wait(&self) -> Option<Duration> {
+        let next = self.set.peek()?.0.0 as f64 / 1000.0;
+        Some(Duration::from_secs_f64((next - self.now()).max(0.0) / 1000.0))
+    }
+
+    /// The first that has fallen due by then, with its time.
+    pub fn pop(&mut self, now: f64) -> Option<(f64, C)> {
+        let due = |at: u64| at as f64 / 1000.0;
+        self.set.peek().filter(|next| due(next.0.0) <= now)?;
+        self.set.pop().map(|Reverse((at, clock))| (due(at), clock))
+    }
+
+    pub fn len(&self) -> usize {
+        self.set.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.set.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A desk passes over a timer that rings before its time, and waits for ever if that was its only one.
+    #[test]
+    fn none_rings_before_its_time() {
+        let mut clocks = Clocks::new(0.0);
+        clocks.set(1000.0004, "it");
+        assert_eq!(clocks.pop(1000.0), None);
+        assert_eq!(clocks.pop(1000.001), Some((1000.001, "it")));
+        assert!(clocks.is_empty() && clocks.wait().is_none());
+    }
+}
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -4,12 +4,15 @@
 //! A line may be sealed by TLS. Then it counts as connected only once the handshake is done, so nothing of a request
 //! has gone to a server whose handshake failed; and what waits in the seal counts as waiting to be written.
 
+pub mod clocks;
+
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rustls::Connection as Seal;
 use slab::Slab;
+use socket2::{Domain, Socket, Type};
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, Shutdown, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 /// A line by its place and, in the upper half, its generation: the key of a closed one is never used again.
@@ -210,6 +213,21 @@
     }
 }
 
+/// `EINPROGRESS`: the connection is under way.
+const UNDER_WAY: i32 = 115;
+
+/// A connection that is made, or under way.
+pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(e) if e.raw_os_error() == Some(UNDER_WAY) || e.kind() == io::ErrorKind::WouldBlock => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
+}
+
 /// Whoever runs the loop that the lines are on.
 pub trait Owner: 'static {
     /// Something may be read from this line or written to it, or it has ended.
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -7,13 +7,12 @@
 use pulleystair::{Listing, Outcome};
 use pulleystair_desk::Hands;
 use pulleystair_lines::Key;
+use pulleystair_lines::clocks::Clocks;
 use pulleystair_rtsp as rtsp;
 use pulleystair_signal::{self as signal, code, kind};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::net::{IpAddr, SocketAddr, TcpStream};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::collections::{HashMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tracing::debug;
 
 pub(crate) type Lines = pulleystair_lines::Lines<Node, Role>;
@@ -151,7 +150,7 @@
     pub(crate) servers: HashMap<u32, Server>,
     pub(crate) numbers: HashMap<String, u32>,
     pub(crate) next_server: u32,
-    pub(crate) clocks: BinaryHeap<Reverse<(u64, Clock)>>,
+    pub(crate) clocks: Clocks<Clock>,
     pub(crate) news: VecDeque<News>,
     /// Lines that have more to read than one turn takes.
     pub(crate) again: VecDeque<Key>,
@@ -164,7 +163,6 @@
     /// Set-ups without an answer.
     pub(crate) deciding: usize,
     pub(crate) rnd: oorandom::Rand64,
-    pub(crate) started: (Instant, f64),
     pub(crate) sums: Sums,
     pub(crate) stopping: Option<f64>,
 }
@@ -184,7 +182,7 @@
             servers: HashMap::new(),
             numbers: HashMap::new(),
             next_server: 0,
-            clocks: BinaryHeap::new(),
+            clocks: Clocks::new(unix),
             news: VecDeque::new(),
             again: VecDeque::new(),
             viewers: VecDeque::new(),
@@ -192,7 +190,6 @@
             wires_open: 0,
             owed: VecDeque::new(),
             deciding: 0,
-            started: (Instant::now(), unix),
             sums: Sums::default(),
             stopping: None,
         }
@@ -200,19 +197,18 @@
 
     /// Unix ms, from one reading of the wall clock at start.
     pub(crate) fn now(&self) -> f64 {
-        self.started.1 + self.started.0.elapsed().as_secs_f64() * 1000.0
+        self.clocks.now()
     }
 
     pub(crate) fn clock(&mut self, due: f64, clock: Clock) {
-        self.clocks.push(Reverse(((due * 1000.0).max(0.0) as u64, clock)));
+        self.clocks.set(due, clock);
     }
 
     pub(crate) fn next_clock(&self) -> Option<Duration> {
         if !self.again.is_empty() {
             return Some(Duration::ZERO);
         }
-        let due = self.clocks.peek()?.0.0 as f64 / 1000.0;
-        Some(Duration::from_secs_f64(((due - self.now()) / 1000.0).max(0.0)))
+        self.clocks.wait()
     }
 
     // ---- towards viewers ----
@@ -336,8 +332,9 @@
         if server.listing.standing == pulleystair::Standing::Gone {
             return None;
         }
-        let stream =
-            connect(address).inspect_err(|e| debug!(target: "server", id = server.id, "dial: {e}")).ok()?;
+        let stream = pulleystair_lines::connect(address)
+            .inspect_err(|e| debug!(target: "server", id = server.id, "dial: {e}"))
+            .ok()?;
         let now = self.now();
         let wire = Wire { server: number, open: Vec::new(), up: false, heard: now, tired: false };
         let key = self.lines.open(stream, None, Role::Server(wire)).ok()?;
@@ -476,21 +473,6 @@
     }
 }
 
-/// A connection under way.
-fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket =
-        Socket::new(Domain::for_address(to), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
-    match socket.connect(&to.into()) {
-        Ok(()) => {}
-        Err(e) if e.raw_os_error() == Some(IN_PROGRESS) || e.kind() == std::io::ErrorKind::WouldBlock => {}
-        Err(e) => return Err(e),
-    }
-    Ok(socket.into())
-}
-
-/// `EINPROGRESS`: the connection is under way.
-const IN_PROGRESS: i32 = 115;
-
 impl Hands for Floor {
     fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
         let now = self.now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,6 @@
 use pulleystair_desk::Desk;
 use pulleystair_lines::{Key, Owner};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener};
 use tracing::{debug, enabled, info};
@@ -102,10 +101,7 @@
     fn ring(&mut self) {
         loop {
             let now = self.floor.now();
-            if self.floor.clocks.peek().is_none_or(|c| c.0.0 as f64 / 1000.0 > now) {
-                return;
-            }
-            let Some(Reverse((_, clock))) = self.floor.clocks.pop() else { return };
+            let Some((_, clock)) = self.floor.clocks.pop(now) else { return };
             match clock {
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
