Take out of the node what could be derived, was never used, or was done twice

Never used: a viewer's leaving, listed, the cause of over(), whose a release was that waits, a counter's and a writer's results, a wrapper. Derived: how many lines viewers and servers have. Done twice: a server's message read ahead and then again, a set-up's class, title and description copied where they could be moved, refusals, releases and releases that waited written in three places, CSeq numbers and READ defined in two, the role of a line matched out in nine (Floor::viewer, Floor::wire). The door is closed by a clock of its own; before, a second chain of looks was started to wake the loop for it.

--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -25,16 +25,18 @@
 /// Causes on the way to servers and back.
 pub(crate) const ENDED: u8 = 16;
 pub(crate) const WITHDRAWN: u8 = 31;
-/// `CSeq` of each request to a server.
+/// `CSeq` of each request to a server, and of the answers to it.
 const SET_UP: u32 = 1;
-const GIVE_UP: u32 = 2;
-const ASK: u32 = 3;
+pub(crate) const GIVE_UP: u32 = 2;
+pub(crate) const ASK: u32 = 3;
 const OTHER: u32 = 4;
+/// Bytes read of a line at a time: a message fits.
+pub(crate) const READ: usize = 32 << 10;
 /// Bytes that may wait for a viewer that does not read them.
 const UNREAD: usize = 256 << 10;
 /// How long a release waits for a viewer's connection, ms.
 const OWED: f64 = 8_000.0;
-/// Releases that may wait, and set-ups that may be open at once.
+/// Releases that may wait.
 const OWED_MOST: usize = 4_096;
 
 pub(crate) enum Role {
@@ -51,8 +53,6 @@
     pub(crate) open: Vec<u64>,
     /// Turned away on it, for whatever cause.
     pub(crate) turned: usize,
-    /// Closed once all is written.
-    pub(crate) leaving: bool,
 }
 
 /// A connection to a media server.
@@ -110,6 +110,8 @@
     Ask,
     Look,
     Sums,
+    /// After a stop, connections are taken no more.
+    Door,
     Stop,
 }
 
@@ -156,10 +158,8 @@
     pub(crate) again: VecDeque<Key>,
     /// Viewers' lines in the order in which they came.
     pub(crate) viewers: VecDeque<Key>,
-    pub(crate) viewers_open: usize,
-    pub(crate) wires_open: usize,
-    /// Releases that found no connection: session, whose, cause, since when.
-    pub(crate) owed: VecDeque<(u64, Option<IpAddr>, u8, f64)>,
+    /// Releases that found no connection: session, cause, since when.
+    pub(crate) owed: VecDeque<(u64, u8, f64)>,
     /// Set-ups without an answer.
     pub(crate) deciding: usize,
     pub(crate) rnd: oorandom::Rand64,
@@ -186,8 +186,6 @@
             news: VecDeque::new(),
             again: VecDeque::new(),
             viewers: VecDeque::new(),
-            viewers_open: 0,
-            wires_open: 0,
             owed: VecDeque::new(),
             deciding: 0,
             sums: Sums::default(),
@@ -211,29 +209,42 @@
         self.clocks.wait()
     }
 
+    pub(crate) fn viewer(&mut self, key: Key) -> Option<&mut Viewer> {
+        match &mut self.lines.get(key)?.role {
+            Role::Viewer(viewer) => Some(viewer),
+            Role::Server(_) => None,
+        }
+    }
+
+    pub(crate) fn wire(&mut self, key: Key) -> Option<&mut Wire> {
+        match &mut self.lines.get(key)?.role {
+            Role::Server(wire) => Some(wire),
+            Role::Viewer(_) => None,
+        }
+    }
+
     // ---- towards viewers ----
 
     /// Writes on a viewer's line; one that does not read is closed.
-    pub(crate) fn write_viewer(&mut self, key: Key, bytes: &[u8]) -> bool {
-        let Some(line) = self.lines.get(key) else { return false };
+    pub(crate) fn write_viewer(&mut self, key: Key, bytes: &[u8]) {
+        let Some(line) = self.lines.get(key) else { return };
         line.write(bytes);
         line.flush();
         if line.ended || line.pending() > UNREAD {
             line.ended = true;
             self.again.push_back(key);
         }
-        true
     }
 
     /// The final answer of a play that does not run.
     pub(crate) fn turn_away(&mut self, play: u64, cause: u8, pause: f64) {
         let Some(session) = self.sessions.remove(&play) else { return };
         self.answered(session.viewer, play);
-        self.refuse(session.viewer, play, cause, pause);
+        self.tell_release(session.viewer, play, cause, pause);
     }
 
-    /// A refusal or failure under an id, whether it was taken or not.
-    pub(crate) fn refuse(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
+    /// A refusal, a failure or the end of what stood, under an id that need not have been taken.
+    pub(crate) fn tell_release(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
         let pause = format!("{}", pause.ceil().max(0.0));
         let mut parameters: Vec<(u8, &[u8])> = vec![(code::CAUSE, std::slice::from_ref(&cause))];
         if pause != "0" {
@@ -247,21 +258,17 @@
     /// A set-up has its answer, or needs none any more.
     pub(crate) fn answered(&mut self, key: Key, play: u64) {
         self.deciding = self.deciding.saturating_sub(1);
-        if let Some(Role::Viewer(viewer)) = self.lines.get(key).map(|line| &mut line.role) {
+        if let Some(viewer) = self.viewer(key) {
             viewer.open.retain(|p| *p != play);
         }
     }
 
     /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
     pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
-        let Some(bytes) = signal::write(kind::RELEASE, play, &[(code::CAUSE, &[cause])]) else { return };
         let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
         match key {
-            Some(key) => drop(self.write_viewer(key, &bytes)),
-            None if self.owed.len() < OWED_MOST => {
-                let now = self.now();
-                self.owed.push_back((play, from, cause, now));
-            }
+            Some(key) => self.tell_release(key, play, cause, 0.0),
+            None if self.owed.len() < OWED_MOST => self.owed.push_back((play, cause, self.now())),
             None => {}
         }
     }
@@ -281,7 +288,7 @@
         let mut other = None;
         for key in self.viewers.clone().into_iter().rev() {
             let Some(line) = self.lines.get(key) else { continue };
-            let asks = matches!(&line.role, Role::Viewer(viewer) if viewer.proven && !viewer.leaving);
+            let asks = matches!(&line.role, Role::Viewer(viewer) if viewer.proven);
             let own = line.from() == from;
             if !asks || !own && other.is_some() || !self.is_there(key) {
                 continue;
@@ -297,12 +304,9 @@
     /// A viewer's connection has proven to be one: what is owed goes out on it.
     pub(crate) fn pay(&mut self, key: Key) {
         let now = self.now();
-        while let Some((play, _, cause, since)) = self.owed.pop_front() {
+        while let Some((play, cause, since)) = self.owed.pop_front() {
             if now - since < OWED {
-                let Some(bytes) = signal::write(kind::RELEASE, play, &[(code::CAUSE, &[cause])]) else {
-                    continue;
-                };
-                self.write_viewer(key, &bytes);
+                self.tell_release(key, play, cause, 0.0);
             }
         }
     }
@@ -338,7 +342,6 @@
         let now = self.now();
         let wire = Wire { server: number, open: Vec::new(), up: false, heard: now, tired: false };
         let key = self.lines.open(stream, None, Role::Server(wire)).ok()?;
-        self.wires_open += 1;
         self.servers.get_mut(&number)?.lines.push(key);
         let due = now + self.terms.dial;
         if let Some(line) = self.lines.get(key) {
@@ -348,6 +351,11 @@
         Some(key)
     }
 
+    /// Lines to servers: all that are no viewer's.
+    pub(crate) fn wires_open(&self) -> usize {
+        self.lines.count() - self.viewers.len()
+    }
+
     /// Lines that a server may have: its part of those that there may be.
     fn lines_each(&self) -> usize {
         let listed = self.servers.values().filter(|s| !s.lines.is_empty()).count().max(8);
@@ -369,17 +377,15 @@
                 best = Some(it);
             }
         }
-        let may_dial = keys.len() < self.lines_each() && self.wires_open < self.shares.servers;
+        let may_dial = keys.len() < self.lines_each() && self.wires_open() < self.shares.servers;
         match best {
             Some((_, 0, key)) => Some(key),
             _ if may_dial => self.dial(number),
             Some((_, _, key)) => Some(key),
             // All its lines are of no use: one that carries nothing makes room.
             None => {
-                let idle = keys.iter().copied().find(|key| match self.lines.get(*key).map(|l| &l.role) {
-                    Some(Role::Server(wire)) => wire.open.is_empty(),
-                    _ => false,
-                });
+                let idle = |key: &Key| self.wire(*key).is_some_and(|wire| wire.open.is_empty());
+                let idle = keys.into_iter().find(idle);
                 if let Some(key) = idle {
                     self.drop_wire(key);
                 }
@@ -410,11 +416,9 @@
 
     /// Takes a line to a server out of use; nothing is to be open on it.
     pub(crate) fn drop_wire(&mut self, key: Key) {
-        if let Some(Role::Server(wire)) = self.lines.close(key) {
-            self.wires_open = self.wires_open.saturating_sub(1);
-            if let Some(server) = self.servers.get_mut(&wire.server) {
-                server.lines.retain(|k| *k != key);
-            }
+        let Some(Role::Server(wire)) = self.lines.close(key) else { return };
+        if let Some(server) = self.servers.get_mut(&wire.server) {
+            server.lines.retain(|k| *k != key);
         }
     }
 
@@ -438,15 +442,15 @@
         let Some(session) = self.sessions.get_mut(&play) else { return };
         let Some(key) = session.line.take() else { return };
         session.used.push(key);
-        let Some(line) = self.lines.get(key) else { return };
-        let Role::Server(wire) = &mut line.role else { return };
-        wire.open.retain(|(p, _)| *p != play);
+        self.no_more_open(key, play);
         let bytes = rtsp::request("TEARDOWN", "session", GIVE_UP, play, &[], b"");
-        line.write(&bytes);
-        line.flush();
-        let ended = line.ended;
-        if ended {
-            self.again.push_back(key);
+        self.write_wire(key, &bytes);
+    }
+
+    /// A set-up on this line has its answer, or needs none any more.
+    pub(crate) fn no_more_open(&mut self, key: Key, play: u64) {
+        if let Some(wire) = self.wire(key) {
+            wire.open.retain(|(p, _)| *p != play);
         }
     }
 
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -58,7 +58,6 @@
             self.take_list(whole, true, &lines);
         }
         self.asking.rev = Some(self.floor.posting.known.rev);
-        self.listed = true;
     }
 
     pub(crate) fn ask(&mut self) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,7 +3,7 @@
 //!
 //! A play's way: `viewers` takes the set-up, the desk sends it ([`Floor::send`]), `servers` takes the answer and hands it on.
 
-use crate::floor::{Clock, Floor, Role, Server};
+use crate::floor::{Clock, FAILED, Floor, Role, Server};
 use crate::listing::Asking;
 use crate::posting::Posting;
 use calloop::generic::Generic;
@@ -31,8 +31,6 @@
     pub(crate) desk: Desk,
     pub(crate) floor: Floor,
     pub(crate) asking: Asking,
-    /// The list of the start has been taken.
-    pub(crate) listed: bool,
     halted: bool,
 }
 
@@ -66,7 +64,7 @@
     let desk = Desk::new(posting.sheet.clone(), posting.salt);
     let floor = Floor::new(posting, handle.clone());
     let asking = Asking::new(&floor, None, false)?;
-    let mut node = Node { desk, floor, asking, listed: false, halted: false };
+    let mut node = Node { desk, floor, asking, halted: false };
     node.take_known();
     let door =
         handle.insert_source(Generic::new(listener, Interest::READ, Mode::Level), |_, listener, node| {
@@ -117,11 +115,16 @@
                 Clock::Sums => {
                     let floor = &self.floor;
                     info!(target: "sums", sums = ?floor.sums, open = floor.deciding, sessions = floor.sessions.len(),
-                        held = self.desk.held(), viewers = floor.viewers_open, wires = floor.wires_open,
+                        held = self.desk.held(), viewers = floor.viewers.len(), wires = floor.wires_open(),
                         servers = floor.servers.len(), owed = floor.owed.len(), clocks = floor.clocks.len());
                     self.forget_gone();
                     self.floor.clock(now + SUMS, Clock::Sums);
                 }
+                Clock::Door => {
+                    if let Some(door) = self.floor.door.take() {
+                        self.floor.handle.remove(door);
+                    }
+                }
                 Clock::Stop => self.halted = true,
             }
             self.settle();
@@ -156,35 +159,25 @@
         info!(target: "node", open = self.floor.deciding, standing = self.floor.sessions.len(), "stopping");
         let last = now + self.floor.terms.longest + MARGIN;
         self.floor.clock(last, Clock::Stop);
-        self.floor.clock(now + OPEN_DOOR, Clock::Look);
+        self.floor.clock(now + OPEN_DOOR, Clock::Door);
     }
 
-    fn done(&mut self) -> bool {
-        let Some(since) = self.floor.stopping else { return self.halted };
-        let now = self.floor.now();
-        if now - since < OPEN_DOOR {
-            return false;
-        }
-        if let Some(door) = self.floor.door.take() {
-            self.floor.handle.remove(door);
-        }
-        self.halted
-            || self.floor.deciding == 0 && !self.floor.lines.waits(|role| matches!(role, Role::Viewer(_)))
+    /// Told to stop, and nothing is owed to a viewer any more.
+    fn done(&self) -> bool {
+        let unwritten = |role: &Role| matches!(role, Role::Viewer(_));
+        let owes = self.floor.door.is_some() || self.floor.deciding > 0 || self.floor.lines.waits(unwritten);
+        self.halted || self.floor.stopping.is_some() && !owes
     }
 
     /// A server has started anew: what stood there before does no more.
     pub(crate) fn restarted(&mut self, number: u32, born: f64) {
         for play in self.floor.standing_at(number) {
             if self.floor.sessions.get(&play).is_some_and(|s| s.since < born) {
-                self.server_ended(play, number);
+                self.stood(play, number, Outcome::Broken, FAILED, &[]);
             }
         }
     }
 
-    fn server_ended(&mut self, play: u64, number: u32) {
-        self.stood(play, number, Outcome::Broken, crate::floor::FAILED, &[]);
-    }
-
     /// Servers that are gone and have nothing left are forgotten, in every layer.
     pub(crate) fn forget_gone(&mut self) {
         let held: HashSet<u32> = self.floor.sessions.values().filter_map(|s| s.server).collect();
@@ -210,11 +203,7 @@
             let Some(server) = self.floor.servers.get(&number) else { continue };
             let (id, playing, standing) = (server.id.clone(), server.playing, server.listing.standing);
             let lines = server.lines.clone();
-            let open = |key: &Key| match self.floor.lines.get(*key).map(|line| &line.role) {
-                Some(Role::Server(wire)) => wire.open.len(),
-                _ => 0,
-            };
-            let out: usize = lines.iter().map(open).sum();
+            let out: usize = lines.iter().map(|key| self.floor.wire(*key).map_or(0, |w| w.open.len())).sum();
             debug!(target: "belief", id, ?standing, playing, out, held = self.desk.held_at(number), lines = lines.len());
         }
     }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,7 @@
 //! What comes from media servers: answers to set-ups, the notes and ends of sessions that stand, reports, and the loss of
 //! connections.
 
-use crate::floor::{ENDED, FAILED, News, Role, Server, WITHDRAWN};
+use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, News, READ, Role, Server, WITHDRAWN};
 use crate::node::Node;
 use pulleystair::{Figure, Outcome, Standing};
 use pulleystair_lines::Key;
@@ -9,13 +9,8 @@
 use pulleystair_signal::{self as signal, code, kind};
 use tracing::{debug, info};
 
-/// Bytes read at a time: a message fits.
-const READ: usize = 32 << 10;
 /// Reads of a line in one turn.
 const TURN: usize = 16;
-/// `CSeq` of answers that are not to a set-up.
-const TO_GIVE_UP: u32 = 2;
-const TO_ASK: u32 = 3;
 /// A server with plays that is silent for longer than this, beyond the time between its notes, is called, ms.
 const SILENCE: f64 = 1_000.0;
 /// So many calls in a row that did not come up mean that it is lost.
@@ -68,8 +63,9 @@
     /// Takes the whole messages off; none where what came can't be read.
     fn server_messages(&mut self, key: Key, server: u32, input: &[u8]) -> Option<usize> {
         let mut used = 0;
+        let mut found = Message::read(input);
         loop {
-            match Message::read(&input[used..]) {
+            match found {
                 Ok(None) => return Some(used),
                 Err(e) => {
                     debug!(target: "server", server = self.floor.id_of(server), "spoilt: {e}");
@@ -78,16 +74,14 @@
                 }
                 Ok(Some((message, n))) => {
                     used += n;
+                    found = Message::read(&input[used..]);
                     // What follows an answer and can't be read spoils that too: its length did not fit.
-                    if let Err(e) = Message::read(&input[used..]) {
-                        debug!(target: "server", server = self.floor.id_of(server), "spoilt behind: {e}");
-                        self.floor.sums.spoilt += 1;
-                        return None;
-                    }
-                    self.server_message(key, server, &message);
-                    self.settle();
-                    if self.floor.lines.get(key).is_none() {
-                        return Some(used);
+                    if found.is_ok() {
+                        self.server_message(key, server, &message);
+                        self.settle();
+                        if self.floor.lines.get(key).is_none() {
+                            return Some(used);
+                        }
                     }
                 }
             }
@@ -104,8 +98,8 @@
         let out = session.is_some_and(|s| !s.playing && s.line == Some(key));
         match &message.start {
             Start::Answer(100..=199) => {}
-            Start::Answer(_) if message.cseq() == Some(TO_GIVE_UP) => {}
-            Start::Answer(_) if message.cseq() == Some(TO_ASK) => {
+            Start::Answer(_) if message.cseq() == Some(GIVE_UP) => {}
+            Start::Answer(_) if message.cseq() == Some(ASK) => {
                 self.desk.report(now, server, &load, &mut self.floor);
             }
             Start::Answer(200) if out => self.plays(now, key, server, play, &message.body, &load),
@@ -162,7 +156,7 @@
 
     /// The set-up was answered: its viewer gets the description as it came.
     fn plays(&mut self, now: f64, key: Key, server: u32, play: u64, description: &[u8], load: &[Figure]) {
-        self.no_more_open(key, play);
+        self.floor.no_more_open(key, play);
         let Some(bytes) = signal::write(kind::ANSWER, play, &[(code::DESCRIPTION, description)]) else {
             self.floor.cut(server, Some(key), play, WITHDRAWN);
             return self.allocation_ended(play, server, Outcome::Error, load);
@@ -184,12 +178,6 @@
         self.floor.send_rung(play);
     }
 
-    fn no_more_open(&mut self, key: Key, play: u64) {
-        if let Some(Role::Server(wire)) = self.floor.lines.get(key).map(|line| &mut line.role) {
-            wire.open.retain(|(p, _)| *p != play);
-        }
-    }
-
     /// An allocation that was out has ended without a play.
     pub(crate) fn allocation_ended(&mut self, play: u64, server: u32, outcome: Outcome, load: &[Figure]) {
         let now = self.floor.now();
@@ -198,7 +186,7 @@
             session.server = None;
             let waited = now - session.since;
             if let Some(key) = key {
-                self.no_more_open(key, play);
+                self.floor.no_more_open(key, play);
             }
             debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), ?outcome, waited, "allocation ended");
         }
@@ -227,8 +215,8 @@
         self.settle();
     }
 
-    /// A session that stood is over by its viewer's word, or by this front's (`told`: the cause its viewer is told).
-    pub(crate) fn over(&mut self, play: u64, told: Option<u8>) {
+    /// A session that stood is over by its viewer's word.
+    pub(crate) fn over(&mut self, play: u64) {
         let now = self.floor.now();
         self.desk.left(play, &mut self.floor);
         // The desk has had it withdrawn; that is told as news, and the session is gone by then.
@@ -240,9 +228,6 @@
             self.floor.news.retain(|news| news.play != play);
             self.desk.ended(now, play, number, Outcome::Withdrawn, true, &[], &mut self.floor);
         }
-        if let Some(cause) = told {
-            self.floor.release(play, session.viewer, session.from, cause);
-        }
     }
 
     /// A connection to a server could not be made, was lost, or brought what can't be read.
@@ -307,11 +292,7 @@
         silent.sort_unstable();
         for number in silent {
             let lines = self.floor.servers.get(&number).map(|s| s.lines.clone()).unwrap_or_default();
-            let calling = |key: &Key| match self.floor.lines.get(*key).map(|line| &line.role) {
-                Some(Role::Server(wire)) => !wire.up,
-                _ => false,
-            };
-            if !lines.iter().any(calling) {
+            if !lines.into_iter().any(|key| self.floor.wire(key).is_some_and(|wire| !wire.up)) {
                 self.call(number);
             }
         }
@@ -324,27 +305,23 @@
             return;
         }
         let (Some(server), Some(key), since) = (session.server, session.line, session.since) else { return };
-        let mut outcome = Outcome::TimedOut;
-        let mut drop_it = false;
+        let mut unsent = false;
         if let Some(line) = self.floor.lines.get(key) {
             let (up, gone) = (line.connected() == Some(true), line.gone());
             if let Role::Server(wire) = &mut line.role {
                 let begins = wire.open.iter().find(|(p, _)| *p == play).map_or(0, |o| o.1);
-                if !up || gone <= begins {
-                    (outcome, drop_it) = (Outcome::Unreachable, true);
-                }
+                unsent = !up || gone <= begins;
                 // Silent since this set-up went out: it may never speak again.
                 wire.tired |= wire.heard < since;
             }
         }
-        if drop_it {
+        if unsent {
             // Bytes that wait on it would run later.
-            self.wire_lost(key);
-            return;
+            return self.wire_lost(key);
         }
-        debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), waited = now - since, ?outcome, "timed out");
+        debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), waited = now - since, "timed out");
         self.floor.give_up(play);
-        self.allocation_ended(play, server, outcome, &[]);
+        self.allocation_ended(play, server, Outcome::TimedOut, &[]);
         self.settle();
     }
 
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,6 +1,6 @@
 //! What comes from viewers: set-ups, what gives them up, the ends of sessions, and tests.
 
-use crate::floor::{BUSY, Clock, Role, Session, UNUSABLE, Viewer, WITHDRAWN};
+use crate::floor::{BUSY, Clock, READ, Role, Session, UNUSABLE, Viewer, WITHDRAWN};
 use crate::node::Node;
 use pulleystair_desk::Wish;
 use pulleystair_lines::Key;
@@ -8,8 +8,6 @@
 use std::net::TcpListener;
 use tracing::debug;
 
-/// Bytes read at a time: a message fits.
-const READ: usize = 32 << 10;
 /// Messages taken off a line in one turn.
 const TURN: usize = 64;
 /// A connection that has brought nothing usable by then is closed, ms. Such a viewer is owed an end within 3 s.
@@ -50,14 +48,13 @@
                 }
                 Err(_) => return,
             };
-            if self.floor.viewers_open >= self.floor.shares.viewers && !self.make_room() {
+            if self.floor.viewers.len() >= self.floor.shares.viewers && !self.make_room() {
                 drop(stream);
                 continue;
             }
             let now = self.floor.now();
-            let viewer = Viewer { came: now, proven: false, open: Vec::new(), turned: 0, leaving: false };
+            let viewer = Viewer { came: now, proven: false, open: Vec::new(), turned: 0 };
             let Ok(key) = self.floor.lines.open(stream, None, Role::Viewer(viewer)) else { continue };
-            self.floor.viewers_open += 1;
             self.floor.viewers.push_back(key);
             if let Some(line) = self.floor.lines.get(key) {
                 line.due = now + SILENT;
@@ -90,7 +87,6 @@
     /// A viewer's connection is at its end: what it had open is given up.
     pub(crate) fn viewer_gone(&mut self, key: Key) {
         let Some(Role::Viewer(viewer)) = self.floor.lines.close(key) else { return };
-        self.floor.viewers_open = self.floor.viewers_open.saturating_sub(1);
         self.floor.viewers.retain(|k| *k != key);
         for play in viewer.open {
             self.gave_up(play);
@@ -115,15 +111,7 @@
             let Some(line) = self.floor.lines.get(key) else { return };
             line.flush();
             let came = line.read(READ);
-            let (ended, pending) = (line.ended, line.pending());
-            let Role::Viewer(viewer) = &mut line.role else { return };
-            if viewer.leaving {
-                line.input.clear();
-                if ended || pending == 0 {
-                    return self.viewer_gone(key);
-                }
-                return;
-            }
+            let ended = line.ended;
             if !line.input.is_empty() {
                 let input = std::mem::take(&mut line.input);
                 let used = self.messages(key, &input);
@@ -160,11 +148,6 @@
                         return None;
                     }
                     self.settle();
-                    let Some(line) = self.floor.lines.get(key) else { return Some(used) };
-                    let Role::Viewer(viewer) = &line.role else { return Some(used) };
-                    if viewer.turned > TURNED {
-                        return None;
-                    }
                 }
             }
         }
@@ -179,21 +162,21 @@
                 let Some(session) = self.floor.sessions.get_mut(&play) else { return true };
                 if session.playing {
                     session.cause = message.cause().unwrap_or(WITHDRAWN);
-                    self.over(play, None);
+                    self.over(play);
                 } else if session.viewer == key {
                     self.gave_up(play);
                 }
             }
             kind::MOVE => {
                 if self.floor.sessions.get(&play).is_some_and(|s| s.playing) {
-                    self.over(play, None);
+                    self.over(play);
                 }
             }
             kind::TEST => {
-                let passed = u8::from(self.listed && self.floor.stopping.is_none());
+                let passed = u8::from(self.floor.stopping.is_none());
                 let bytes = pulleystair_signal::write(kind::TESTED, play, &[(code::CAUSE, &[passed])]);
                 self.floor.write_viewer(key, &bytes.unwrap_or_default());
-                if let Some(Role::Viewer(viewer)) = self.floor.lines.get(key).map(|l| &mut l.role) {
+                if let Some(viewer) = self.floor.viewer(key) {
                     viewer.came = f64::INFINITY;
                 }
             }
@@ -206,27 +189,26 @@
     fn set_up(&mut self, key: Key, message: &Message) -> bool {
         let play = message.session;
         let now = self.floor.now();
+        let known = self.floor.sessions.contains_key(&play);
         let asked = match self.read_set_up(now, message) {
             Ok(asked) => asked,
             Err(cause) => {
                 debug!(target: "viewer", play = format!("{play:016x}"), "not usable: {cause}");
                 // The id of an open play again: that one keeps its answer.
-                if self.floor.sessions.contains_key(&play) {
+                if known {
                     return false;
                 }
                 self.floor.sums.unusable += 1;
-                self.turned(key);
-                self.floor.refuse(key, play, UNUSABLE, 0.0);
-                return true;
+                return self.turn_off(key, play, UNUSABLE, 0.0);
             }
         };
         if let Some(at) = asked.at.clone() {
-            if !self.floor.sessions.contains_key(&play) {
+            if !known {
                 self.adopt(now, key, play, asked, &at);
             }
             return true;
         }
-        if self.floor.sessions.contains_key(&play) {
+        if known {
             return false;
         }
         self.floor.sums.asked += 1;
@@ -235,33 +217,34 @@
         let Role::Viewer(viewer) = &mut line.role else { return true };
         if viewer.open.len() >= OPEN_EACH || self.floor.deciding >= OPEN_MOST {
             self.floor.sums.flooded += 1;
-            self.turned(key);
-            let pause = self.floor.terms.stay_away;
-            self.floor.refuse(key, play, BUSY, pause);
-            return true;
+            return self.turn_off(key, play, BUSY, self.floor.terms.stay_away);
         }
         viewer.open.push(play);
         let newly = !std::mem::replace(&mut viewer.proven, true);
         self.floor.deciding += 1;
-        self.floor.sessions.insert(play, session(key, from, &asked));
+        let wish = asked.wish;
+        self.floor.sessions.insert(play, session(key, from, asked));
         if newly {
             self.floor.pay(key);
         }
-        self.desk.take(now, play, &asked.wish, &mut self.floor);
+        self.desk.take(now, play, &wish, &mut self.floor);
         true
     }
 
-    fn turned(&mut self, key: Key) {
-        if let Some(Role::Viewer(viewer)) = self.floor.lines.get(key).map(|l| &mut l.role) {
-            viewer.turned += 1;
-        }
+    /// Refuses what was not taken; false where that was once too often on this connection.
+    fn turn_off(&mut self, key: Key, play: u64, cause: u8, pause: f64) -> bool {
+        self.floor.tell_release(key, play, cause, pause);
+        let Some(viewer) = self.floor.viewer(key) else { return true };
+        viewer.turned += 1;
+        viewer.turned <= TURNED
     }
 
     /// A session that plays already at that server.
     fn adopt(&mut self, now: f64, key: Key, play: u64, asked: Asked, at: &str) {
         let server = self.floor.number(at);
         let from = self.floor.lines.get(key).and_then(|line| line.from());
-        let mut it = session(key, from, &asked);
+        let wish = asked.wish;
+        let mut it = session(key, from, asked);
         (it.server, it.playing, it.since) = (Some(server), true, now);
         self.floor.sessions.insert(play, it);
         if let Some(server) = self.floor.servers.get_mut(&server) {
@@ -270,7 +253,7 @@
                 server.heard = now;
             }
         }
-        self.desk.adopt(now, play, &asked.wish, server, &mut self.floor);
+        self.desk.adopt(now, play, &wish, server, &mut self.floor);
         // A server that knows no connection of this front can't tell of the session.
         let _ = self.floor.any_line(server);
     }
@@ -338,13 +321,13 @@
     }
 }
 
-fn session(viewer: Key, from: Option<std::net::IpAddr>, asked: &Asked) -> Session {
+fn session(viewer: Key, from: Option<std::net::IpAddr>, asked: Asked) -> Session {
     Session {
         viewer,
         from,
-        class: asked.class.clone(),
-        title: asked.title.clone(),
-        description: asked.description.clone(),
+        class: asked.class,
+        title: asked.title,
+        description: asked.description,
         server: None,
         line: None,
         playing: false,
--- a/crates/rtsp/src/lib.rs
+++ b/crates/rtsp/src/lib.rs
@@ -47,7 +47,7 @@
 }
 
 /// 16 hex digits as ids are written.
-pub fn id(text: &str) -> Option<u64> {
+fn id(text: &str) -> Option<u64> {
     let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
