Let one piece reuse indices, one read numbers and rows of the call sheet

The desk's indices of servers and of titles reused freed ones in two ways; node and sheet each read rows of texts, node and decisions each a number. Indices<K>, sheet::texts and pulleystair::number serve all; a wrapper of one call goes, and the desk's stories of memory list their four servers in one place.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -8,6 +8,7 @@
 use pulleystair::logic::Front;
 use pulleystair::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Steps};
 use std::collections::HashMap;
+use std::hash::Hash;
 
 /// The timer that reminds a front to ask for its list; all others are slots of plays.
 const FOLLOW: u32 = u32::MAX;
@@ -48,54 +49,52 @@
     pub limit: f64,
 }
 
-/// Small indices for servers, in order of first sight; one that is gone for good gives its index back.
+/// Small indices for a host's ids, in order of first sight; one that is given back is the next new id's.
 #[derive(Default)]
-struct Servers {
-    by_id: HashMap<u32, usize>,
-    ids: Vec<u32>,
+struct Indices<K> {
+    by_id: HashMap<K, usize>,
+    ids: Vec<K>,
     free: Vec<usize>,
 }
 
-impl Servers {
-    fn of(&mut self, id: u32) -> usize {
+impl<K: Copy + Eq + Hash> Indices<K> {
+    fn of(&mut self, id: K) -> usize {
         *self.by_id.entry(id).or_insert_with(|| {
-            let index = self.free.pop().unwrap_or_else(|| {
+            let index = self.free.pop().unwrap_or(self.ids.len());
+            if index == self.ids.len() {
                 self.ids.push(id);
-                self.ids.len() - 1
-            });
+            }
             self.ids[index] = id;
             index
         })
     }
+
+    fn give_back(&mut self, index: usize) {
+        self.by_id.remove(&self.ids[index]);
+        self.free.push(index);
+    }
 }
 
-/// Small indices for titles with plays in hand; one that has none any more gives its index back.
+/// Indices for titles with plays in hand; one that has none any more gives its index back.
 #[derive(Default)]
 struct Titles {
-    by_id: HashMap<u64, usize>,
-    /// For each index: the title's id, and how many plays of it are in hand.
-    held: Vec<(u64, usize)>,
-    free: Vec<usize>,
+    indices: Indices<u64>,
+    /// For each index: how many plays of the title are in hand.
+    held: Vec<usize>,
 }
 
 impl Titles {
     fn take(&mut self, id: u64) -> usize {
-        let index = *self.by_id.entry(id).or_insert_with(|| {
-            self.free.pop().unwrap_or_else(|| {
-                self.held.push((id, 0));
-                self.held.len() - 1
-            })
-        });
-        self.held[index] = (id, self.held[index].1 + 1);
+        let index = self.indices.of(id);
+        self.held.resize(self.indices.ids.len(), 0);
+        self.held[index] += 1;
         index
     }
 
     fn give_back(&mut self, index: usize) {
-        let (id, plays) = &mut self.held[index];
-        *plays -= 1;
-        if *plays == 0 {
-            self.by_id.remove(id);
-            self.free.push(index);
+        self.held[index] -= 1;
+        if self.held[index] == 0 {
+            self.indices.give_back(index);
         }
     }
 }
@@ -107,7 +106,7 @@
     slots: Vec<(u64, Option<f64>)>,
     free: Vec<usize>,
     by_id: HashMap<u64, usize>,
-    servers: Servers,
+    servers: Indices<u32>,
     titles: Titles,
 }
 
@@ -119,7 +118,7 @@
             slots: Vec::new(),
             free: Vec::new(),
             by_id: HashMap::new(),
-            servers: Servers::default(),
+            servers: Indices::default(),
             titles: Titles::default(),
         }
     }
@@ -152,7 +151,7 @@
     /// read: its server goes by the id beside it.
     pub fn list(&mut self, now: f64, whole: bool, cached: bool, lines: &[(u32, Listing)]) {
         let lines: Vec<Listing> =
-            lines.iter().map(|(id, line)| Listing { server: self.server(*id), ..*line }).collect();
+            lines.iter().map(|(id, line)| Listing { server: self.servers.of(*id), ..*line }).collect();
         self.front.list(now, whole, cached, &lines);
     }
 
@@ -167,8 +166,7 @@
             return false;
         }
         self.front.forget(s);
-        self.servers.by_id.remove(&id);
-        self.servers.free.push(s);
+        self.servers.give_back(s);
         true
     }
 
@@ -187,7 +185,7 @@
 
     /// A play that ran at this server before this front started.
     pub fn adopt(&mut self, now: f64, id: u64, wish: &Wish, server: u32, hands: &mut impl Hands) {
-        let server = self.server(server);
+        let server = self.servers.of(server);
         let ply = self.keep(id, wish);
         self.plays[ply].server = Some(server);
         self.front.adopt(now, &mut self.plays, ply);
@@ -214,7 +212,7 @@
         load: &[Figure],
         hands: &mut impl Hands,
     ) {
-        let at = self.server(server);
+        let at = self.servers.of(server);
         let ply = self.by_id.get(&id).copied();
         let next = ply.map(|ply| (ply, self.front.after(now, &mut self.plays, ply, outcome, closed)));
         self.figures(now, at, load, hands);
@@ -249,13 +247,13 @@
 
     /// What a server tells of its load, in an answer or a probe's.
     pub fn report(&mut self, now: f64, server: u32, load: &[Figure], hands: &mut impl Hands) {
-        let server = self.server(server);
+        let server = self.servers.of(server);
         self.figures(now, server, load, hands);
     }
 
     /// What a server tells on one of its plays.
     pub fn note(&mut self, now: f64, id: u64, server: u32, figure: Figure, hands: &mut impl Hands) {
-        let server = self.server(server);
+        let server = self.servers.of(server);
         if let Some(&ply) = self.by_id.get(&id) {
             let steps = self.front.figure(now, &mut self.plays, server, Some(ply), figure);
             self.steps(now, &steps, hands);
@@ -269,10 +267,6 @@
         }
     }
 
-    fn server(&mut self, id: u32) -> usize {
-        self.servers.of(id)
-    }
-
     fn keep(&mut self, id: u64, wish: &Wish) -> usize {
         let Wish { product, first_cell, holders, top, came, limit, .. } = *wish;
         let title = self.titles.take(wish.title);
--- a/crates/desk/tests/memory.rs
+++ b/crates/desk/tests/memory.rs
@@ -72,6 +72,18 @@
     numbers.iter().map(|(name, value)| ((*name).to_string(), Value::Number(*value))).collect()
 }
 
+/// Four servers, numbered from here, each in a cell of its own.
+fn lines(from: u32) -> Vec<(u32, Listing)> {
+    let line = |cell| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+    (0..4).map(|s| (from + s, line(s as usize))).collect()
+}
+
+fn listed() -> Desk {
+    let mut desk = Desk::new(sheet(), 1);
+    desk.list(0.0, true, false, &lines(0));
+    desk
+}
+
 /// Plays that come, run for a second and end well, so many of them, of so many titles in turn.
 fn run(desk: &mut Desk, from: u64, plays: u64, titles: u64, reports: bool) {
     let mut host = Host::default();
@@ -100,11 +112,7 @@
 fn a_front_that_runs_for_long_holds_no_more_than_one_that_has_warmed_up() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     for reports in [true, false] {
-        let mut desk = Desk::new(sheet(), 1);
-        let line =
-            |cell: usize| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
-        let lines: Vec<(u32, Listing)> = (0..4).map(|s| (s as u32, line(s))).collect();
-        desk.list(0.0, true, false, &lines);
+        let mut desk = listed();
         run(&mut desk, 0, 2_000, 50, reports);
         let warmed_up = HELD.load(Ordering::Relaxed);
         run(&mut desk, 2_000, 20_000, 50, reports);
@@ -116,10 +124,7 @@
 #[test]
 fn titles_that_are_gone_are_forgotten() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut desk = Desk::new(sheet(), 1);
-    let line = |cell: usize| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
-    let lines: Vec<(u32, Listing)> = (0..4).map(|s| (s as u32, line(s))).collect();
-    desk.list(0.0, true, false, &lines);
+    let mut desk = listed();
     run(&mut desk, 0, 2_000, u64::MAX, true);
     let warmed_up = HELD.load(Ordering::Relaxed);
     run(&mut desk, 2_000, 20_000, u64::MAX, true);
@@ -131,11 +136,9 @@
 fn servers_that_are_gone_for_good_are_forgotten() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let mut desk = Desk::new(sheet(), 1);
-    let line = |cell: usize| Listing { cell, standing: Standing::Ready, weight: 1.0, ..Listing::default() };
     let replace = |desk: &mut Desk, from: u32, lists: u32| {
         for list in from..from + lists {
-            let lines: Vec<(u32, Listing)> = (0..4).map(|s| (list * 4 + s, line(s as usize))).collect();
-            desk.list(f64::from(list), true, false, &lines);
+            desk.list(f64::from(list), true, false, &lines(list * 4));
             run(desk, u64::from(list) * 50, 50, 5, true);
             assert!(
                 list == 0 || (0..4).all(|s| desk.forget_server((list - 1) * 4 + s)),
@@ -154,7 +157,7 @@
 fn a_server_is_not_forgotten_while_a_play_goes_by_it() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let (mut desk, mut host) = (Desk::new(sheet(), 1), Host::default());
-    let line = Listing { standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+    let line = lines(0)[0].1;
     desk.list(0.0, true, false, &[(7, line)]);
     let wish = Wish { product: 0, title: 1, first_cell: 0, holders: 1, top: 0, came: 1.0, limit: 3000.0 };
     desk.take(1.0, 1, &wish, &mut host);
--- a/crates/node/src/posting.rs
+++ b/crates/node/src/posting.rs
@@ -1,8 +1,9 @@
 //! What a node is given at start: a file of JSON, with the platform's settings as a call sheet.
 
 use anyhow::{Context, anyhow};
-use pulleystair::{CallSheet, Value};
+use pulleystair::{CallSheet, number};
 use pulleystair_names::Known;
+use pulleystair_sheet::{sheet_of, texts};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -64,8 +65,7 @@
         let mut json = serde_json::Deserializer::from_slice(&text);
         let mut it: Posting = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| anyhow!("{}: {}: {}", place(), e.path(), e.inner()))?;
-        it.sheet =
-            pulleystair_sheet::sheet_of(&it.settings).map_err(|e| anyhow!("{}: settings: {e}", place()))?;
+        it.sheet = sheet_of(&it.settings).map_err(|e| anyhow!("{}: settings: {e}", place()))?;
         it.salt = u64::from_str_radix(&it.seed, 16)
             .map_err(|e| anyhow!("{}: seed: {:?} are no hex digits: {e}", place(), it.seed))?;
         it.settings = serde_json::Value::Null;
@@ -74,26 +74,17 @@
     }
 
     pub fn terms(&self) -> Terms {
-        let number = |name: &str, other: f64| match self.sheet.get(name) {
-            Some(Value::Number(n)) => *n,
-            _ => other,
-        };
-        let text = |name: String| match self.sheet.get(&name) {
-            Some(Value::Text(t)) => Some(t.clone()),
-            _ => None,
-        };
-        let names = |of: &str, part: &str| -> Vec<String> {
-            (0..).map_while(|i| text(format!("{of}.{i}{part}"))).collect()
-        };
+        let number = |name: &str, other: f64| number(&self.sheet, name, other);
+        let names = |of: &str| texts(&self.sheet, |i| format!("{of}.{i}"));
         let count = |of: &str| (0..).take_while(|i| self.sheet.contains_key(&format!("{of}.{i}"))).count();
-        let products = names("products", ".name");
+        let products = texts(&self.sheet, |i| format!("products.{i}.name"));
         let limit = |i: usize| number(&format!("products.{i}.time_limit"), 3_000.0);
         let heeded = number("ceilings.retry_after", 0.0) > 0.0;
         Terms {
             longest: (0..products.len()).map(limit).fold(3_000.0, f64::max),
             products,
-            zones: names("failure_domains", ""),
-            kinds: names("kinds", ""),
+            zones: names("failure_domains"),
+            kinds: names("kinds"),
             cells: number("extra.places", 1.0).max(1.0) as usize,
             rungs: count("extra.ladder_kb").max(1),
             dial: number("ceilings.dial_timeout", 250.0).max(1.0),
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -57,16 +57,21 @@
     out
 }
 
+/// A row of texts, by the name of each, up to the first that is not there.
+pub fn texts(sheet: &CallSheet, name: impl Fn(usize) -> String) -> Vec<String> {
+    let text = |i| match sheet.get(&name(i)) {
+        Some(Value::Text(t)) => Some(t.clone()),
+        _ => None,
+    };
+    (0..).map_while(text).collect()
+}
+
 /// What the values of a load report are, in order.
 pub struct Columns(Vec<String>);
 
 impl Columns {
     pub fn of(sheet: &CallSheet) -> Columns {
-        let column = |i: usize| match sheet.get(&format!("load_info.columns.{i}")) {
-            Some(Value::Text(t)) => Some(t.clone()),
-            _ => None,
-        };
-        Columns((0..).map_while(column).collect())
+        Columns(texts(sheet, |i| format!("load_info.columns.{i}")))
     }
 
     /// The figures of a report that has its values in order.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,11 @@
     Text(String),
 }
 
+/// A number of the call sheet, or this one where it has none of that name.
+pub fn number(sheet: &CallSheet, name: &str, otherwise: f64) -> f64 {
+    if let Some(Value::Number(n)) = sheet.get(name) { *n } else { otherwise }
+}
+
 /// A viewer's session, kept by the caller in a slice and named by its index there.
 #[derive(Clone, Debug, Default)]
 pub struct Play {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! (where to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how
 //! long until the play is to be asked about again). The plain values that pass are defined in `src/lib.rs`.
 
-use crate::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Standing, Steps, Value};
+use crate::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Standing, Steps, Value, number};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A draw below this takes the roomiest holder outright (Wamser et al.).
@@ -180,10 +180,6 @@
     cached: f64,
 }
 
-fn number(sheet: &CallSheet, name: &str, otherwise: f64) -> f64 {
-    if let Some(Value::Number(n)) = sheet.get(name) { *n } else { otherwise }
-}
-
 fn text(sheet: &CallSheet, name: &str) -> String {
     if let Some(Value::Text(t)) = sheet.get(name) { t.clone() } else { String::new() }
 }
