Keep the connection on which a standing session was handed over

Cause: a connection counts as a viewer's once a set-up came on it (Viewer::proven), and one that does not is closed after 2.4 s (line_due). A set-up that carries `at` left it unproven (adopt, viewers.rs), so at every start a node closed the connections that had just handed sessions over. The viewers of these keep them while the session stands; with none left, and traffic so thin that none comes for seconds, the release had nowhere to go and the request counted as lost.

The log tells now when a viewer's connection comes and goes, what ends, and what waited how long. Test: the_connection_that_handed_a_session_over_is_kept_for_its_end; the old code closes the connection in it.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -486,6 +486,19 @@
     assert_eq!(viewer.hears(RELEASE, 40).cause(), 16);
 }
 
+/// Its viewer has no other connection, and in thin traffic none may come for long.
+#[test]
+fn the_connection_that_handed_a_session_over_is_kept_for_its_end() {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(41, &[(18, "home:0;copies:1;top:1;at:s-0000000a"), (6, "0")]));
+    let mut wire = stage.hosts[0].accept();
+    let mut silent = stage.node.viewer();
+    assert_eq!(silent.next(), None);
+    wire.request("TEARDOWN", 41, "Reason: cause=16\r\n");
+    assert_eq!(viewer.hears(RELEASE, 41).cause(), 16);
+}
+
 #[test]
 fn many_plays_and_ever_new_servers_leave_memory_as_it_was() {
     let stage = stage();
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -266,6 +266,7 @@
     /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
     pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
         let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
+        debug!(target: "play", play = format!("{play:016x}"), cause, own = key == Some(viewer), waits = key.is_none(), "over");
         match key {
             Some(key) => self.tell_release(key, play, cause, 0.0),
             None if self.owed.len() < OWED_MOST => self.owed.push_back((play, cause, self.now())),
@@ -305,6 +306,7 @@
     pub(crate) fn pay(&mut self, key: Key) {
         let now = self.now();
         while let Some((play, cause, since)) = self.owed.pop_front() {
+            debug!(target: "play", play = format!("{play:016x}"), waited = now - since, "release that waited");
             if now - since < OWED {
                 self.tell_release(key, play, cause, 0.0);
             }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -56,6 +56,7 @@
             let viewer = Viewer { came: now, proven: false, open: Vec::new(), turned: 0 };
             let Ok(key) = self.floor.lines.open(stream, None, Role::Viewer(viewer)) else { continue };
             self.floor.viewers.push_back(key);
+            debug!(target: "viewer", key, viewers = self.floor.viewers.len(), "connected");
             if let Some(line) = self.floor.lines.get(key) {
                 line.due = now + SILENT;
             }
@@ -88,6 +89,7 @@
     pub(crate) fn viewer_gone(&mut self, key: Key) {
         let Some(Role::Viewer(viewer)) = self.floor.lines.close(key) else { return };
         self.floor.viewers.retain(|k| *k != key);
+        debug!(target: "viewer", key, proven = viewer.proven, open = viewer.open.len(), viewers = self.floor.viewers.len(), "gone");
         for play in viewer.open {
             self.gave_up(play);
         }
@@ -242,7 +244,14 @@
     /// A session that plays already at that server.
     fn adopt(&mut self, now: f64, key: Key, play: u64, asked: Asked, at: &str) {
         let server = self.floor.number(at);
-        let from = self.floor.lines.get(key).and_then(|line| line.from());
+        let Some(line) = self.floor.lines.get(key) else { return };
+        let from = line.from();
+        // Its viewer keeps the connection while the session stands, to hear of its end.
+        if let Role::Viewer(viewer) = &mut line.role
+            && !std::mem::replace(&mut viewer.proven, true)
+        {
+            self.floor.pay(key);
+        }
         let wish = asked.wish;
         let mut it = session(key, from, asked);
         (it.server, it.playing, it.since) = (Some(server), true, now);
