Read the name service's answers into room for any datagram, and warn of those not taken

Cause: names::MOST was 8 KiB (names/src/lib.rs), and the answer was read into an array of that size: a longer one is cut by recv, can't be read, and the list stands still; the log told of it at debug level only. A list of 350 servers has 56 kB uncompressed.

Now 64 KiB, had once by the node and filled as answers need it, and a warning for the first and each fiftieth answer in a row that can't be taken, with the number of the list that stays in use.

--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -11,8 +11,8 @@
 
 /// What the list is asked for under.
 const SERVICE: &str = "_app._tcp.cluster.lan";
-/// Bytes of an answer at most.
-pub const MOST: usize = 8 << 10;
+/// Bytes of an answer at most: what a datagram can hold. Hundreds of servers fill more than 8 KiB.
+pub const MOST: usize = 64 << 10;
 /// The priority that says that a server drains.
 const DRAINING: u16 = 1;
 /// A record's weight for one of the list.
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -16,6 +16,8 @@
 const ASK: f64 = 200.0;
 /// Questions whose answers are still taken.
 const WAITING: usize = 8;
+/// Of answers in a row that can't be taken, one in so many is warned of.
+const FAULTS: u32 = 50;
 
 /// The name service as it is asked.
 pub(crate) struct Asking {
@@ -26,6 +28,10 @@
     pub(crate) rev: Option<u32>,
     /// An answer has been taken since the start.
     heard: bool,
+    /// What answers are read into; pages that none has filled are not had.
+    room: Vec<u8>,
+    /// Answers in a row that could not be taken.
+    faults: u32,
 }
 
 fn socket(to: SocketAddr) -> io::Result<UdpSocket> {
@@ -45,7 +51,7 @@
             Ok(PostAction::Continue)
         });
         let source = source.map_err(|e| anyhow::anyhow!("{}", e.error))?;
-        Ok(Asking { socket, source, ids: VecDeque::new(), rev, heard })
+        Ok(Asking { socket, source, ids: VecDeque::new(), rev, heard, room: vec![0; names::MOST], faults: 0 })
     }
 }
 
@@ -74,17 +80,24 @@
     }
 
     fn hear(&mut self) {
-        let mut room = [0; names::MOST];
         for _ in 0..WAITING {
-            let Ok(n) = self.asking.socket.recv(&mut room) else { return };
             let asking = &mut self.asking;
-            if !names::id_of(&room[..n]).is_some_and(|id| asking.ids.contains(&id)) {
+            let Ok(n) = asking.socket.recv(&mut asking.room) else { return };
+            let came = &asking.room[..n];
+            if !names::id_of(came).is_some_and(|id| asking.ids.contains(&id)) {
                 debug!(target: "names", "answer to nothing that was asked");
                 continue;
             }
-            match names::answer(&room[..n]) {
-                Err(e) => debug!(target: "names", "answer not taken: {e}"),
+            match names::answer(came) {
+                Err(e) => {
+                    asking.faults += 1;
+                    // A list that stands still for want of a whole answer is not to stand still in silence.
+                    if asking.faults % FAULTS == 1 {
+                        warn!(target: "names", rev = asking.rev, in_a_row = asking.faults, "answer not taken: {e}");
+                    }
+                }
                 Ok((serial, list)) => {
+                    asking.faults = 0;
                     let newer = asking.rev.is_none_or(|rev| serial > rev);
                     let same = asking.rev == Some(serial);
                     // The list of the start is vouched for by the first answer that is not older.
