Answer what waits at the door or unread; bound the lines to servers; keep those with sessions

The line that is needed least makes room, never a server's only one where a play stands. - The tests' wait for a log line never ended while other lines came.

The name service's test: 350 servers by one answer, 1,024 at the start, 1,024 nodes in the settings.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -327,6 +327,52 @@
 
 // ---- bad servers ----
 
+/// As many viewers as there may be, the first of them with a session that stands; none has a set-up open.
+fn full(stage: &Stage) -> (Vec<Viewer>, Wire) {
+    let mut viewers: Vec<Viewer> = (0..22).map(|_| stage.node.viewer()).collect();
+    let mut wire = stage.stands(&mut viewers[0], 100);
+    for (i, viewer) in viewers.iter_mut().enumerate().skip(1) {
+        let play = 100 + i as u64;
+        viewer.say(&set_up(play, &[HERE]));
+        let asked = wire.wants("SETUP");
+        wire.answer(&asked, 200, DESCRIPTION);
+        viewer.hears(ANSWER, play);
+        wire.request("TEARDOWN", play, "Reason: cause=16\r\n");
+        viewer.hears(RELEASE, play);
+    }
+    (viewers, wire)
+}
+
+#[test]
+fn room_for_a_viewer_is_not_made_where_a_session_stands_or_a_set_up_waits_unread() {
+    let stage = stage_of(64);
+    let (mut viewers, mut wire) = full(&stage);
+    stage.node.signal("STOP");
+    let mut newcomer = stage.node.viewer();
+    viewers[1].say(&set_up(200, &[HERE]));
+    stage.node.signal("CONT");
+    let asked = wire.wants("SETUP");
+    wire.answer(&asked, 200, DESCRIPTION);
+    viewers[1].hears(ANSWER, 200);
+    assert_eq!(viewers[2].next(), None);
+    newcomer.hears_nothing();
+    wire.request("TEARDOWN", 100, "Reason: cause=16\r\n");
+    viewers[0].hears(RELEASE, 100);
+}
+
+#[test]
+fn a_viewer_for_whom_there_is_no_room_is_told_so() {
+    let stage = stage_of(64);
+    let mut viewers: Vec<Viewer> = (0..22).map(|_| stage.node.viewer()).collect();
+    viewers.iter_mut().zip(300..).for_each(|(viewer, play)| viewer.say(&set_up(play, &[HERE])));
+    let mut wire = stage.hosts[0].accept();
+    let held: Vec<peers::Asked> = (0..22).map(|_| wire.wants("SETUP")).collect();
+    let mut newcomer = stage.node.viewer();
+    newcomer.say(&set_up(400, &[HERE]));
+    assert_eq!(newcomer.hears(RELEASE, 400).cause(), 42);
+    drop(held);
+}
+
 #[test_case("\u{7}\u{3}noise"; "noise")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; "another protocol")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 3000000000\r\n\r\nv=0"; "three gigabytes")]
@@ -421,6 +467,60 @@
     drop(wire);
 }
 
+// ---- size ----
+
+/// Ten lines may lead to servers here; each title is held by one server of twelve.
+#[test]
+fn lines_to_more_servers_than_there_may_be_make_room_for_each_other() {
+    let hosts: Vec<Host> = (0..12).map(|cell| Host::start(&format!("s-{cell:08x}"), cell)).collect();
+    let names = Names::start(hosts.iter().map(Host::record).collect());
+    let posting = Node::posting(names.at, &hosts.iter().collect::<Vec<_>>(), 64, 3_000_000);
+    let node = Node::start(&posting.replace(r#""places":2"#, r#""places":12"#));
+    let mut viewer = node.viewer();
+    let mut wires: Vec<Wire> = Vec::new();
+    for (cell, host) in hosts.iter().enumerate() {
+        let play = 500 + cell as u64;
+        viewer.say(&set_up(play, &[(18, &format!("home:{cell};copies:1;top:1"))]));
+        let mut wire = host.accept();
+        let asked = wire.wants("SETUP");
+        wire.answer(&asked, 200, DESCRIPTION);
+        viewer.hears(ANSWER, play);
+        // What stands at the first goes on.
+        if cell > 0 {
+            wire.request("TEARDOWN", play, "Reason: cause=16\r\n");
+            viewer.hears(RELEASE, play);
+        }
+        wires.push(wire);
+    }
+    // The two that were heard of longest ago, and not the one with a session.
+    assert!(wires[1].next().is_none() && wires[2].next().is_none());
+    viewer.say(&set_up(600, &[HERE]));
+    wires[0].wants("SETUP");
+}
+
+/// As many as a datagram of the name service holds, beside 1,024 nodes and a start list of 1,024.
+#[test]
+fn lists_of_hundreds_and_a_thousand_are_followed_from_end_to_end() {
+    let host = Host::start("s-0000ffff", 0);
+    let other = |i: usize| Record { id: format!("s-{i:08x}"), cell: i % 2, ..host.record() };
+    let records = |n: usize| (0..n).map(other).chain([host.record()]).collect::<Vec<Record>>();
+    let names = Names::start(records(350));
+    names.change(|zone| zone.serial = 2);
+    let many: Vec<Host> = (1..1_024).map(|i| Host::named(&format!("s-{i:08x}"), i % 2, host.at)).collect();
+    let posting = Node::posting(names.at, &many.iter().chain([&host]).collect::<Vec<_>>(), 256, 3_000_000);
+    let node = Node::start(&posting.replace(r#""balancers":1"#, r#""balancers":1024"#));
+    assert!(node.log.lock().expect("the log").contains("servers=1024"));
+    assert!(node.logs("serial=2").contains("servers=351"));
+    names.change(|zone| (zone.serial, zone.records) = (3, records(0)));
+    assert!(node.logs("serial=3").contains("servers=1"));
+    let mut viewer = node.viewer();
+    viewer.say(&set_up(601, &[HERE]));
+    let mut wire = host.accept();
+    let asked = wire.wants("SETUP");
+    wire.answer(&asked, 200, DESCRIPTION);
+    viewer.hears(ANSWER, 601);
+}
+
 // ---- signals ----
 
 #[test]
@@ -458,6 +558,36 @@
     assert!(stage.node.ended().success());
 }
 
+/// The machine accepted it before the door closed, while the node was behind.
+#[test]
+fn what_waits_at_the_door_when_it_closes_is_answered() {
+    let mut stage = stage();
+    stage.node.signal("TERM");
+    stage.node.logs("stopping");
+    stage.node.signal("STOP");
+    let mut late = stage.node.viewer();
+    late.say(&set_up(38, &[HERE]));
+    std::thread::sleep(Duration::from_millis(1_000));
+    stage.node.signal("CONT");
+    let (mut wire, asked) = stage.next_at(0);
+    wire.answer(&asked, 200, DESCRIPTION);
+    late.hears(ANSWER, 38);
+    assert!(stage.node.ended().success());
+}
+
+/// Its viewer waits for longer than the settings name, and the node may not.
+#[test]
+fn what_is_open_at_the_end_is_answered_before_it() {
+    let mut stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(39, &[(6, "60000")]));
+    let held = stage.next_at(usize::from(wait_any(&stage)));
+    stage.node.signal("TERM");
+    viewer.hears(RELEASE, 39);
+    assert!(stage.node.ended().success());
+    drop(held);
+}
+
 #[test_case("{", "config.json"; "no JSON")]
 #[test_case(r#"{"listen":"nowhere"}"#, "listen"; "a wrong address")]
 fn a_bad_posting_ends_the_start_with_place_and_cause(posting: &str, place: &str) {
--- a/crates/edge/tests/peers/mod.rs
+++ b/crates/edge/tests/peers/mod.rs
@@ -186,6 +186,11 @@
         Host { id: id.into(), listener: Some(listener), kept: RefCell::new(None), at, cell }
     }
 
+    /// One that is listed and takes no connections.
+    pub fn named(id: &str, cell: usize, at: SocketAddr) -> Host {
+        Host { id: id.into(), listener: None, kept: RefCell::new(None), at, cell }
+    }
+
     pub fn record(&self) -> Record {
         Record { id: self.id.clone(), at: self.at, cell: self.cell, draining: false, started: 0 }
     }
@@ -451,8 +456,9 @@
 
     /// The next line of the log with this in it.
     pub fn logs(&self, what: &str) -> String {
+        let until = Instant::now() + PATIENCE;
         loop {
-            let line = self.lines.recv_timeout(PATIENCE);
+            let line = self.lines.recv_timeout(until.saturating_duration_since(Instant::now()));
             let line =
                 line.unwrap_or_else(|_| panic!("no line {what:?}: {}", self.log.lock().expect("the log")));
             if line.contains(what) {
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -287,11 +287,25 @@
         (*generation == (key >> 32) as u32).then_some(line)
     }
 
+    /// What a line is for.
+    pub fn role(&self, key: Key) -> Option<&R> {
+        let (generation, line) = self.lines.get(key as u32 as usize)?;
+        (*generation == (key >> 32) as u32).then_some(&line.role)
+    }
+
     /// Whether a line of such a role has still bytes that wait to be written.
     pub fn waits(&self, of: impl Fn(&R) -> bool) -> bool {
         self.lines.iter().any(|(_, (_, line))| of(&line.role) && line.pending() > 0)
     }
 
+    /// All that are open.
+    pub fn keys(&self) -> Vec<Key> {
+        self.lines
+            .iter()
+            .map(|(place, (generation, _))| place as u64 | u64::from(*generation) << 32)
+            .collect()
+    }
+
     /// How many lines are open.
     pub fn count(&self) -> usize {
         self.lines.len()
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -11,7 +11,8 @@
 use pulleystair_rtsp as rtsp;
 use pulleystair_signal::{self as signal, code, kind};
 use std::collections::{HashMap, VecDeque};
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tracing::debug;
 
@@ -147,7 +148,7 @@
     pub(crate) shares: Shares,
     pub(crate) lines: Lines,
     pub(crate) handle: LoopHandle<'static, Node>,
-    pub(crate) door: Option<RegistrationToken>,
+    pub(crate) door: Option<(RegistrationToken, Arc<TcpListener>)>,
     pub(crate) sessions: HashMap<u64, Session>,
     pub(crate) servers: HashMap<u32, Server>,
     pub(crate) numbers: HashMap<String, u32>,
@@ -338,13 +339,19 @@
         if server.listing.standing == pulleystair::Standing::Gone {
             return None;
         }
+        if self.wires_open() >= self.shares.servers && !self.spare_wire() {
+            return None;
+        }
+        let server = self.servers.get(&number)?;
         let stream = pulleystair_lines::connect(address)
             .inspect_err(|e| debug!(target: "server", id = server.id, "dial: {e}"))
             .ok()?;
         let now = self.now();
         let wire = Wire { server: number, open: Vec::new(), up: false, heard: now, tired: false };
         let key = self.lines.open(stream, None, Role::Server(wire)).ok()?;
-        self.servers.get_mut(&number)?.lines.push(key);
+        let server = self.servers.get_mut(&number)?;
+        server.lines.push(key);
+        debug!(target: "server", server = server.id, lines = server.lines.len(), playing = server.playing, silent = now - server.heard, "dials");
         let due = now + self.terms.dial;
         if let Some(line) = self.lines.get(key) {
             line.due = due;
@@ -353,6 +360,26 @@
         Some(key)
     }
 
+    /// Closes the line that is needed least, where there is one: nothing is under way on it, and no play stands at its server
+    /// or another line leads there; of these the one that has been silent longest.
+    fn spare_wire(&mut self) -> bool {
+        let mut least: Option<(f64, Key)> = None;
+        for server in self.servers.values().filter(|s| s.playing == 0 || s.lines.len() > 1) {
+            for key in &server.lines {
+                let Some(line) = self.lines.get(*key) else { continue };
+                let waits = line.pending() > 0;
+                let Role::Server(wire) = &line.role else { continue };
+                let it = (wire.heard, *key);
+                if !waits && wire.open.is_empty() && least.is_none_or(|least| it < least) {
+                    least = Some(it);
+                }
+            }
+        }
+        let Some((_, key)) = least else { return false };
+        self.drop_wire(key);
+        true
+    }
+
     /// Lines to servers: all that are no viewer's.
     pub(crate) fn wires_open(&self) -> usize {
         self.lines.count() - self.viewers.len()
@@ -382,12 +409,12 @@
         let may_dial = keys.len() < self.lines_each() && self.wires_open() < self.shares.servers;
         match best {
             Some((_, 0, key)) => Some(key),
-            _ if may_dial => self.dial(number),
-            Some((_, _, key)) => Some(key),
+            Some((_, _, key)) if !may_dial => Some(key),
+            Some((_, _, key)) => self.dial(number).or(Some(key)),
             // All its lines are of no use: one that carries nothing makes room.
             None => {
                 let idle = |key: &Key| self.wire(*key).is_some_and(|wire| wire.open.is_empty());
-                let idle = keys.into_iter().find(idle);
+                let idle = keys.iter().copied().find(idle).filter(|_| keys.len() >= self.lines_each());
                 if let Some(key) = idle {
                     self.drop_wire(key);
                 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,11 +10,12 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
 use pulleystair::{Outcome, Standing};
-use pulleystair_desk::Desk;
+use pulleystair_desk::{Desk, Hands};
 use pulleystair_lines::{Key, Owner};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use tracing::{debug, enabled, info};
 
 /// Connections that may wait to be accepted.
@@ -24,8 +25,10 @@
 const SUMS: f64 = 5_000.0;
 /// After SIGTERM connections and set-ups are taken for so long, ms: they keep coming for 0.6 s.
 const OPEN_DOOR: f64 = 900.0;
-/// Left between the last answer that may be owed and the end, ms.
-const MARGIN: f64 = 200.0;
+/// A node that was told to stop is killed no sooner than this after the longest time limit, which counts as `LONGEST` at
+/// most; by `MARGIN` all that is still owed is answered, ms.
+const LONGEST: f64 = 3_000.0;
+const MARGIN: f64 = 600.0;
 
 pub struct Node {
     pub(crate) desk: Desk,
@@ -60,18 +63,18 @@
     let handle = event_loop.handle();
     let at = posting.listen;
     let listener = listen(at).map_err(|e| anyhow::anyhow!("listen: {at} can't be had: {e}"))?;
-    let at = listener.local_addr()?;
+    let (at, listener) = (listener.local_addr()?, Arc::new(listener));
     let desk = Desk::new(posting.sheet.clone(), posting.salt);
     let floor = Floor::new(posting, handle.clone());
     let asking = Asking::new(&floor, None, false)?;
     let mut node = Node { desk, floor, asking, halted: false };
     node.take_known();
     let door =
-        handle.insert_source(Generic::new(listener, Interest::READ, Mode::Level), |_, listener, node| {
-            node.accept(listener);
+        handle.insert_source(Generic::new(listener.clone(), Interest::READ, Mode::Level), |_, _, node| {
+            node.accept();
             Ok(PostAction::Continue)
         })?;
-    node.floor.door = Some(door);
+    node.floor.door = Some((door, listener));
     handle.insert_source(signals, |event, (), node| match event.signal() {
         Signal::SIGHUP => node.read_anew(),
         Signal::SIGXFSZ => {}
@@ -82,7 +85,7 @@
     node.floor.clock(now + LOOK, Clock::Look);
     node.floor.clock(now + SUMS, Clock::Sums);
     info!(target: "node", name = node.floor.posting.name, %at, servers = node.floor.servers.len(), shares = ?node.floor.shares, "listens");
-    while !node.done() {
+    while !(node.done() && node.nothing_came()) {
         let wait = node.floor.next_clock();
         event_loop.dispatch(wait, &mut node)?;
         node.ring();
@@ -121,21 +124,26 @@
                     self.floor.clock(now + SUMS, Clock::Sums);
                 }
                 Clock::Door => {
-                    if let Some(door) = self.floor.door.take() {
+                    // Whoever waits in its queue was accepted by the machine, and counts as taken.
+                    self.accept();
+                    if let Some((door, _)) = self.floor.door.take() {
                         self.floor.handle.remove(door);
                     }
                 }
-                Clock::Stop => self.halted = true,
+                Clock::Stop => self.answer_all(),
             }
             self.settle();
         }
     }
 
     fn line_due(&mut self, now: f64, key: Key) {
-        let Some(line) = self.floor.lines.get(key) else { return };
-        if line.due > now {
+        let is_due = |node: &mut Node| node.floor.lines.get(key).is_some_and(|line| line.due <= now);
+        if !is_due(self) {
             return;
         }
+        // The loop may be behind: what has come by now counts.
+        self.line_ready(key);
+        let Some(line) = self.floor.lines.get(key).filter(|line| line.due <= now) else { return };
         line.due = f64::INFINITY;
         let connected = line.connected() == Some(true);
         match &line.role {
@@ -157,7 +165,7 @@
         let now = self.floor.now();
         self.floor.stopping = Some(now);
         info!(target: "node", open = self.floor.deciding, standing = self.floor.sessions.len(), "stopping");
-        let last = now + self.floor.terms.longest + MARGIN;
+        let last = now + self.floor.terms.longest.min(LONGEST) + MARGIN;
         self.floor.clock(last, Clock::Stop);
         self.floor.clock(now + OPEN_DOOR, Clock::Door);
     }
@@ -169,6 +177,32 @@
         self.halted || self.floor.stopping.is_some() && !owes
     }
 
+    /// Takes what has come and was not looked at yet, which may be more to answer; true once there is nothing.
+    fn nothing_came(&mut self) -> bool {
+        if !self.halted {
+            self.accept();
+            for key in self.floor.lines.keys() {
+                self.line_ready(key);
+            }
+        }
+        self.done()
+    }
+
+    /// What is still open is answered, as the end comes before its time.
+    fn answer_all(&mut self) {
+        self.nothing_came();
+        let floor = &self.floor;
+        let open = floor.viewers.iter().filter_map(|key| match floor.lines.role(*key) {
+            Some(Role::Viewer(viewer)) => Some(viewer.open.clone()),
+            _ => None,
+        });
+        for play in open.flatten().collect::<Vec<u64>>() {
+            self.floor.give_up(play);
+            self.floor.failed(play);
+        }
+        self.halted = true;
+    }
+
     /// A server has started anew: what stood there before does no more.
     pub(crate) fn restarted(&mut self, number: u32, born: f64) {
         for play in self.floor.standing_at(number) {
--- a/crates/node/src/posting.rs
+++ b/crates/node/src/posting.rs
@@ -81,7 +81,7 @@
         let limit = |i: usize| number(&format!("products.{i}.time_limit"), 3_000.0);
         let heeded = number("ceilings.retry_after", 0.0) > 0.0;
         Terms {
-            longest: (0..products.len()).map(limit).fold(3_000.0, f64::max),
+            longest: (0..products.len()).map(limit).fold(0.0, f64::max),
             products,
             zones: names("failure_domains"),
             kinds: names("kinds"),
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -5,7 +5,7 @@
 use pulleystair_desk::Wish;
 use pulleystair_lines::Key;
 use pulleystair_signal::{Message, code, kind};
-use std::net::TcpListener;
+use std::collections::HashSet;
 use tracing::debug;
 
 /// Messages taken off a line in one turn.
@@ -15,6 +15,8 @@
 /// Set-ups that a connection may have open, and all together.
 const OPEN_EACH: usize = 48;
 const OPEN_MOST: usize = 1_024;
+/// Connections beyond those that there may be, on which set-ups are turned away; the reserve of descriptors bears them.
+const SPARE: usize = 8;
 /// So many turned away on one connection close it.
 const TURNED: usize = 256;
 /// The longest time that a viewer may say that it waits, ms.
@@ -34,7 +36,8 @@
 }
 
 impl Node {
-    pub(crate) fn accept(&mut self, listener: &TcpListener) {
+    pub(crate) fn accept(&mut self) {
+        let Some(listener) = self.floor.door.as_ref().map(|door| door.1.clone()) else { return };
         loop {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
@@ -48,7 +51,12 @@
                 }
                 Err(_) => return,
             };
-            if self.floor.viewers.len() >= self.floor.shares.viewers && !self.make_room() {
+            // With set-ups open on all, some more are let in to be told so.
+            let most = self.floor.shares.viewers;
+            if self.floor.viewers.len() >= most
+                && !self.make_room()
+                && self.floor.viewers.len() >= most + SPARE
+            {
                 drop(stream);
                 continue;
             }
@@ -64,25 +72,28 @@
         }
     }
 
-    /// Closes the oldest connection that has brought nothing, else the oldest with no open set-up.
+    /// Closes the oldest connection that has brought nothing, else the oldest with no open set-up; those on which sessions
+    /// stand come last, as their viewers hear of the end there. What has come by now is taken first.
     fn make_room(&mut self) -> bool {
-        let floor = &mut self.floor;
-        let (mut silent, mut idle) = (None, None);
-        for key in &floor.viewers {
-            let Some(line) = floor.lines.get(*key) else { continue };
-            let Role::Viewer(viewer) = &line.role else { continue };
-            if !viewer.proven && viewer.open.is_empty() {
-                silent = Some(*key);
-                break;
+        let floor = &self.floor;
+        let holds: HashSet<Key> = floor.sessions.values().filter(|s| s.playing).map(|s| s.viewer).collect();
+        let mut idle: Vec<(bool, bool, usize, Key)> = Vec::new();
+        for (place, key) in floor.viewers.iter().enumerate() {
+            let Some(Role::Viewer(viewer)) = floor.lines.role(*key) else { continue };
+            if viewer.open.is_empty() {
+                idle.push((viewer.proven, holds.contains(key), place, *key));
             }
-            if viewer.open.is_empty() && idle.is_none() {
-                idle = Some(*key);
+        }
+        idle.sort_unstable();
+        for (_, _, _, key) in idle {
+            self.viewer_ready(key);
+            if self.floor.viewer(key).is_none_or(|viewer| viewer.open.is_empty()) {
+                self.floor.sums.evicted += 1;
+                self.viewer_gone(key);
+                return true;
             }
         }
-        let Some(key) = silent.or(idle) else { return false };
-        floor.sums.evicted += 1;
-        self.viewer_gone(key);
-        true
+        false
     }
 
     /// A viewer's connection is at its end: what it had open is given up.
@@ -217,7 +228,8 @@
         let Some(line) = self.floor.lines.get(key) else { return true };
         let from = line.from();
         let Role::Viewer(viewer) = &mut line.role else { return true };
-        if viewer.open.len() >= OPEN_EACH || self.floor.deciding >= OPEN_MOST {
+        let crowded = self.floor.viewers.len() > self.floor.shares.viewers;
+        if crowded || viewer.open.len() >= OPEN_EACH || self.floor.deciding >= OPEN_MOST {
             self.floor.sums.flooded += 1;
             return self.turn_off(key, play, BUSY, self.floor.terms.stay_away);
         }
