Call a silent server as late as its viewers may hear of an end

Cause: look_at_servers (servers.rs) called a server with plays once notes were missing for 1.25 of their time and a second, and two calls that did not come up ended all that stood there. PROTOCOL allows 8 s until the viewer hears of an end; the call now comes that late, less two calls, two looks and 0.75 s, and as early as before for a server that is listed as gone.

Test: a_server_that_was_cut_off_for_some_seconds_keeps_its_sessions; the old code ends its session.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -249,6 +249,23 @@
     drop(wire);
 }
 
+/// Its notes are due ten times a second; it has eight seconds until viewers must hear of an end.
+#[test]
+fn a_server_that_was_cut_off_for_some_seconds_keeps_its_sessions() {
+    let mut stage = stage();
+    let all: Vec<&Host> = stage.hosts.iter().collect();
+    stage.node = Node::start(&Node::posting(stage.names.at, &all, 256, 100_000));
+    let mut viewer = stage.node.viewer();
+    let mut wire = stage.stands(&mut viewer, 19);
+    stage.hosts[0].deaf();
+    for _ in 0..2 {
+        // One that says nothing is closed after 2.4 s.
+        assert_eq!(stage.node.viewer().next(), None);
+    }
+    wire.request("TEARDOWN", 19, "Reason: cause=16\r\n");
+    assert_eq!(viewer.hears(RELEASE, 19).cause(), 16);
+}
+
 // ---- bad viewers ----
 
 fn many(n: u64) -> Vec<u8> {
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -35,8 +35,8 @@
 pub(crate) const READ: usize = 32 << 10;
 /// Bytes that may wait for a viewer that does not read them.
 const UNREAD: usize = 256 << 10;
-/// How long a release waits for a viewer's connection, ms.
-const OWED: f64 = 8_000.0;
+/// How long a release waits for a viewer's connection, ms: it has to be told within that time of the end.
+pub(crate) const OWED: f64 = 8_000.0;
 /// Releases that may wait.
 const OWED_MOST: usize = 4_096;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,7 +21,7 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// So often are servers looked at, ms, and the sums written.
-const LOOK: f64 = 500.0;
+pub(crate) const LOOK: f64 = 500.0;
 const SUMS: f64 = 5_000.0;
 /// After SIGTERM connections and set-ups are taken for so long, ms: they keep coming for 0.6 s.
 const OPEN_DOOR: f64 = 900.0;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,8 +1,8 @@
 //! What comes from media servers: answers to set-ups, the notes and ends of sessions that stand, reports, and the loss of
 //! connections.
 
-use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, News, READ, Role, Server, WITHDRAWN};
-use crate::node::Node;
+use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, News, OWED, READ, Role, Server, WITHDRAWN};
+use crate::node::{LOOK, Node};
 use pulleystair::{Figure, Outcome, Standing};
 use pulleystair_lines::Key;
 use pulleystair_rtsp::{Message, Start};
@@ -11,8 +11,10 @@
 
 /// Reads of a line in one turn.
 const TURN: usize = 16;
-/// A server with plays that is silent for longer than this, beyond the time between its notes, is called, ms.
+/// Notes that are missing for longer than this, beyond the time between them, are missing for a cause, ms.
 const SILENCE: f64 = 1_000.0;
+/// Of the time in which viewers must hear of an end, kept for the look that finds it and for the release, ms.
+const HASTE: f64 = 750.0;
 /// So many calls in a row that did not come up mean that it is lost.
 const CALLS: u32 = 2;
 
@@ -283,10 +285,15 @@
         }
     }
 
-    /// Servers with plays that have been silent for longer than their notes are apart are called anew.
+    /// Servers with plays that are silent are called anew, as late as their viewers may hear of it: one that is cut off for
+    /// some seconds keeps its sessions. One that is listed as gone is waited for no longer than its notes are apart.
     pub(crate) fn look_at_servers(&mut self, now: f64) {
-        let most = self.floor.terms.tells * 1.25 + SILENCE;
-        let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() || now - s.heard > most);
+        let terms = &self.floor.terms;
+        let notes = terms.tells * 1.25 + SILENCE;
+        let most = notes.max(OWED - HASTE - f64::from(CALLS) * (terms.dial + LOOK));
+        let gone = |s: &Server| s.listing.standing == Standing::Gone;
+        let late = |s: &Server| now - s.heard > if gone(s) { notes } else { most };
+        let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() || late(s));
         let mut silent: Vec<u32> =
             self.floor.servers.iter().filter(|(_, s)| silent(s)).map(|(number, _)| *number).collect();
         silent.sort_unstable();
