Ask for the list in one round after any number of signals, at uneven times

Cause: read_anew (listing.rs) asks at once, and ask() set a clock for the next question without regard to the one that was set: each SIGHUP started a further round of questions beside those that there were, five times a second each and for good, at all nodes. Provoked by a story between scripted peers: after four signals 60 questions in 2.4 s, now 12 or so. A clock that rings before the next question is due is left over.

Nodes that start or are signalled together no longer ask together: each wait is 150 to 250 ms by the node's own chance.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -557,6 +557,21 @@
     viewer.hears(RELEASE, 35);
 }
 
+/// Each signal started a further round of questions beside those that there were.
+#[test]
+fn sighup_makes_the_list_asked_for_no_oftener() {
+    let stage = stage();
+    for _ in 0..4 {
+        stage.node.signal("HUP");
+        stage.node.logs("name service changed");
+    }
+    let before = stage.names.answered();
+    // One that says nothing is closed after 2.4 s.
+    assert_eq!(stage.node.viewer().next(), None);
+    let asked = stage.names.answered() - before;
+    assert!((1..=24).contains(&asked), "{asked} questions in 2.4 s");
+}
+
 #[test]
 fn sigterm_answers_what_was_taken_and_what_still_comes_and_then_ends_well() {
     let mut stage = stage();
--- a/crates/edge/tests/peers/mod.rs
+++ b/crates/edge/tests/peers/mod.rs
@@ -131,6 +131,11 @@
         with(&mut self.zone.lock().expect("the zone"));
     }
 
+    /// How many questions have come, answered or not.
+    pub fn answered(&self) -> usize {
+        self.asked.load(Ordering::SeqCst)
+    }
+
     /// Waits until so many more questions were answered, or not, in the present manner.
     pub fn asked(&self, more: usize) {
         let until = self.asked.load(Ordering::SeqCst) + more;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -12,8 +12,10 @@
 use std::net::{SocketAddr, UdpSocket};
 use tracing::{debug, info, warn};
 
-/// So often is the list asked for, ms: a change is in use well within half a second of being told.
+/// So often is the list asked for, ms, and the part by which each wait is longer or shorter, so that nodes which started or
+/// were signalled together do not ask together. A change is in use well within half a second of being told.
 const ASK: f64 = 200.0;
+const UNEVEN: f64 = 0.25;
 /// Questions whose answers are still taken.
 const WAITING: usize = 8;
 /// Of answers in a row that can't be taken, one in so many is warned of.
@@ -24,6 +26,8 @@
     socket: UdpSocket,
     source: RegistrationToken,
     ids: VecDeque<u16>,
+    /// When it is asked next; clocks that ring before that are left over.
+    due: f64,
     /// The number of the last event that is in use.
     pub(crate) rev: Option<u32>,
     /// An answer has been taken since the start.
@@ -51,7 +55,16 @@
             Ok(PostAction::Continue)
         });
         let source = source.map_err(|e| anyhow::anyhow!("{}", e.error))?;
-        Ok(Asking { socket, source, ids: VecDeque::new(), rev, heard, room: vec![0; names::MOST], faults: 0 })
+        Ok(Asking {
+            socket,
+            source,
+            ids: VecDeque::new(),
+            due: 0.0,
+            rev,
+            heard,
+            room: vec![0; names::MOST],
+            faults: 0,
+        })
     }
 }
 
@@ -66,6 +79,12 @@
         self.asking.rev = Some(self.floor.posting.known.rev);
     }
 
+    pub(crate) fn ask_if_due(&mut self, now: f64) {
+        if now >= self.asking.due {
+            self.ask();
+        }
+    }
+
     pub(crate) fn ask(&mut self) {
         let id = self.floor.rnd.rand_range(0..1 << 16) as u16;
         let asking = &mut self.asking;
@@ -75,7 +94,9 @@
         }
         // What can't be sent now is asked again soon.
         let _ = asking.socket.send(&names::question(id));
-        let due = self.floor.now() + ASK;
+        let wait = ASK * (1.0 + UNEVEN * (2.0 * self.floor.rnd.rand_float() - 1.0));
+        let due = self.floor.now() + wait;
+        asking.due = due;
         self.floor.clock(due, Clock::Ask);
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -107,7 +107,7 @@
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
                 Clock::TimeOut(play, n) => self.time_out(now, play, n),
                 Clock::Line(key) => self.line_due(now, key),
-                Clock::Ask => self.ask(),
+                Clock::Ask => self.ask_if_due(now),
                 Clock::Look => {
                     self.look_at_servers(now);
                     if enabled!(target: "belief", tracing::Level::DEBUG) {
