--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -160,6 +160,24 @@
     viewer.hears_nothing();
 }
 
+/// It is the only connection that is left, and may be for long.
+#[test]
+fn a_connection_that_ended_one_session_hears_of_the_end_of_another() {
+    let stage = stage();
+    let mut first = stage.node.viewer();
+    let mut wire = stage.stands(&mut first, 14);
+    first.say(&set_up(15, &[HERE]));
+    let asked = wire.wants("SETUP");
+    wire.answer(&asked, 200, DESCRIPTION);
+    first.hears(ANSWER, 15);
+    let mut other = stage.node.viewer();
+    other.say(&message(RELEASE, 14, &[(45, &[31])]));
+    wire.wants("TEARDOWN");
+    drop(first);
+    wire.request("TEARDOWN", 15, "Reason: cause=16\r\n");
+    assert_eq!(other.hears(RELEASE, 15).cause(), 16);
+}
+
 #[test_case(453; "full")]
 #[test_case(500; "an error")]
 #[test_case(454; "moot")]
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -176,6 +176,7 @@
                 if session.playing {
                     session.cause = message.cause().unwrap_or(WITHDRAWN);
                     self.over(play);
+                    self.prove(key);
                 } else if session.viewer == key {
                     self.gave_up(play);
                 }
@@ -183,6 +184,7 @@
             kind::MOVE => {
                 if self.floor.sessions.get(&play).is_some_and(|s| s.playing) {
                     self.over(play);
+                    self.prove(key);
                 }
             }
             kind::TEST => {
@@ -199,6 +201,13 @@
         true
     }
 
+    /// The connection is a viewer's: ends are told on it, and it is not closed for having brought nothing.
+    fn prove(&mut self, key: Key) {
+        if self.floor.viewer(key).is_some_and(|viewer| !std::mem::replace(&mut viewer.proven, true)) {
+            self.floor.pay(key);
+        }
+    }
+
     fn set_up(&mut self, key: Key, message: &Message) -> bool {
         let play = message.session;
         let now = self.floor.now();
@@ -234,13 +243,10 @@
             return self.turn_off(key, play, BUSY, self.floor.terms.stay_away);
         }
         viewer.open.push(play);
-        let newly = !std::mem::replace(&mut viewer.proven, true);
         self.floor.deciding += 1;
         let wish = asked.wish;
         self.floor.sessions.insert(play, session(key, from, asked));
-        if newly {
-            self.floor.pay(key);
-        }
+        self.prove(key);
         self.desk.take(now, play, &wish, &mut self.floor);
         true
     }
@@ -259,11 +265,7 @@
         let Some(line) = self.floor.lines.get(key) else { return };
         let from = line.from();
         // Its viewer keeps the connection while the session stands, to hear of its end.
-        if let Role::Viewer(viewer) = &mut line.role
-            && !std::mem::replace(&mut viewer.proven, true)
-        {
-            self.floor.pay(key);
-        }
+        self.prove(key);
         let wish = asked.wish;
         let mut it = session(key, from, asked);
         (it.server, it.playing, it.since) = (Some(server), true, now);
