Prefer holders heard from lately where a new connection is priced

Ruled out: lines lost (0), second lines for want of a free one (34), probes (0: their price allows none). place() (src/logic.rs) sent to unmeasured holders first whatever a connection costs, so each of 300 nodes gets to know every server.

Where costs.handshake is above 0, holders with a known link and room for twice the play's top rate come first, as own-zone holders do where crossings are priced; the draw among them is as before.

Test: a_new_connection_is_made_for_a_reason_only, which the old code fails.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -479,6 +479,11 @@
         if self.rule("costs.cross_zone", 0.0) > 0.0 {
             open = prefer(open, |s| home(s) && self.room(plays, *s) > ample);
         }
+        // So does a priced connection: holders heard from lately have one, and come first with ample room.
+        // Guards against many fronts that each get to know all servers; leans on fewer of them meanwhile.
+        if self.rule("costs.handshake", 0.0) > 0.0 {
+            open = prefer(open, |s| self.servers[*s].link.known(now) && self.room(plays, *s) > ample);
+        }
         // Unmeasured first; then the weighted draw: half the time the roomiest, else a lottery by room.
         let unmeasured = |s: &usize| self.servers[*s].link.asked.is_none();
         let rooms: Vec<f64> = open.iter().map(|s| self.room(plays, *s).max(0.0)).collect();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -426,6 +426,19 @@
     assert_eq!(host.start(0, 4).1 % 2, 1, "a full zone is a reason");
 }
 
+#[test_case(0.0, true; "free connections")]
+#[test_case(0.05, false; "priced connections")]
+fn a_new_connection_is_made_for_a_reason_only(price: f64, makes: bool) {
+    let sizes = [("extra.link_unit_kb", 9000.0), ("extra.rack_link_kb", 90_000.0)];
+    let mut host = Host::new(&[("costs.handshake", price), sizes[0], sizes[1]]);
+    host.now += 7000.0;
+    host.measure(2, 0.2);
+    let others = (0..8).filter(|_| host.start(0, 4).1 != 2).count();
+    assert_eq!(others > 0, makes);
+    host.measure(2, 1.0);
+    assert_ne!(host.start(0, 4).1, 2, "a full link is a reason");
+}
+
 #[test_case(f64::NAN)]
 #[test_case(-3.0)]
 #[test_case(f64::INFINITY)]
