Let one piece make a line's key, tell a gone server, and serve and end a story's play

Found on reading the fleet's change once more, behaviour as it was: - Lines::role repeated the check of Lines::get to read a viewer's open set-ups; Floor::viewer does that, and is called in its place. - A line's key was put together in open and again in keys: key_of. - Whether a server is listed as gone was asked in four wordings: Server::is_gone. - line_for worked out a server's part of the lines twice in one call; a place in the order of viewers was carried where a stable sort does. - Eleven stories wrote out the serving of a set-up, twelve the end of a play: Wire::serves and Wire::ends, with the assertions they had; that the cause is 16 is now asserted in each.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -38,9 +38,7 @@
     fn stands(&self, viewer: &mut Viewer, session: u64) -> Wire {
         viewer.say(&set_up(session, &[HERE]));
         let mut wire = self.hosts[0].accept();
-        let asked = wire.wants("SETUP");
-        wire.answer(&asked, 200, DESCRIPTION);
-        viewer.hears(ANSWER, session);
+        wire.serves(viewer, session);
         wire
     }
 
@@ -71,8 +69,7 @@
     let told = viewer.hears(ANSWER, asked.session());
     assert_eq!(told.parameters, [(48, b"another one\r\n".to_vec())]);
     wire.request("ANNOUNCE", asked.session(), "X-Why: l\r\nFigure: 0.2\r\n");
-    wire.request("TEARDOWN", asked.session(), "Reason: cause=16\r\n");
-    assert_eq!(viewer.hears(RELEASE, asked.session()).cause(), 16);
+    wire.ends(&mut viewer, asked.session());
     // It is sent again on the next connection: a session that is unknown by now is passed over.
     wire.request("TEARDOWN", asked.session(), "Reason: cause=16\r\n");
     viewer.hears_nothing();
@@ -89,17 +86,12 @@
     let mut second = stage.node.viewer();
     second.say(&set_up(2, &[HERE]));
     assert_eq!(second.hears(RELEASE, 1).cause(), 41);
-    let asked = wire.wants("SETUP");
-    wire.answer(&asked, 200, DESCRIPTION);
-    second.hears(ANSWER, 2);
+    wire.serves(&mut second, 2);
     let mut third = stage.node.viewer();
     third.say(&set_up(3, &[HERE]));
-    let asked = wire.wants("SETUP");
-    wire.answer(&asked, 200, DESCRIPTION);
-    third.hears(ANSWER, 3);
+    wire.serves(&mut third, 3);
     drop(third);
-    wire.request("TEARDOWN", 3, "Reason: cause=16\r\n");
-    assert_eq!(second.hears(RELEASE, 3).cause(), 16);
+    wire.ends(&mut second, 3);
 }
 
 #[test]
@@ -167,15 +159,12 @@
     let mut first = stage.node.viewer();
     let mut wire = stage.stands(&mut first, 14);
     first.say(&set_up(15, &[HERE]));
-    let asked = wire.wants("SETUP");
-    wire.answer(&asked, 200, DESCRIPTION);
-    first.hears(ANSWER, 15);
+    wire.serves(&mut first, 15);
     let mut other = stage.node.viewer();
     other.say(&message(RELEASE, 14, &[(45, &[31])]));
     wire.wants("TEARDOWN");
     drop(first);
-    wire.request("TEARDOWN", 15, "Reason: cause=16\r\n");
-    assert_eq!(other.hears(RELEASE, 15).cause(), 16);
+    wire.ends(&mut other, 15);
 }
 
 #[test_case(453; "full")]
@@ -220,9 +209,7 @@
     for play in 10..14 {
         viewer.say(&set_up(play, &[]));
         let wire = wire.get_or_insert_with(|| stage.hosts[1].accept());
-        let asked = wire.wants("SETUP");
-        wire.answer(&asked, 200, DESCRIPTION);
-        viewer.hears(ANSWER, play);
+        wire.serves(&mut viewer, play);
     }
 }
 
@@ -280,8 +267,7 @@
         // One that says nothing is closed after 2.4 s.
         assert_eq!(stage.node.viewer().next(), None);
     }
-    wire.request("TEARDOWN", 19, "Reason: cause=16\r\n");
-    assert_eq!(viewer.hears(RELEASE, 19).cause(), 16);
+    wire.ends(&mut viewer, 19);
 }
 
 // ---- bad viewers ----
@@ -369,11 +355,8 @@
     for (i, viewer) in viewers.iter_mut().enumerate().skip(1) {
         let play = 100 + i as u64;
         viewer.say(&set_up(play, &[HERE]));
-        let asked = wire.wants("SETUP");
-        wire.answer(&asked, 200, DESCRIPTION);
-        viewer.hears(ANSWER, play);
-        wire.request("TEARDOWN", play, "Reason: cause=16\r\n");
-        viewer.hears(RELEASE, play);
+        wire.serves(viewer, play);
+        wire.ends(viewer, play);
     }
     (viewers, wire)
 }
@@ -386,13 +369,10 @@
     let mut newcomer = stage.node.viewer();
     viewers[1].say(&set_up(200, &[HERE]));
     stage.node.signal("CONT");
-    let asked = wire.wants("SETUP");
-    wire.answer(&asked, 200, DESCRIPTION);
-    viewers[1].hears(ANSWER, 200);
+    wire.serves(&mut viewers[1], 200);
     assert_eq!(viewers[2].next(), None);
     newcomer.hears_nothing();
-    wire.request("TEARDOWN", 100, "Reason: cause=16\r\n");
-    viewers[0].hears(RELEASE, 100);
+    wire.ends(&mut viewers[0], 100);
 }
 
 #[test]
@@ -441,8 +421,7 @@
     assert_eq!(viewer.hears(ANSWER, 25).get(48), Some(DESCRIPTION.as_bytes()));
     viewer.hears_nothing();
     assert_eq!(wire.wants("TEARDOWN").session(), 999);
-    wire.request("TEARDOWN", 25, "Reason: cause=16\r\n");
-    viewer.hears(RELEASE, 25);
+    wire.ends(&mut viewer, 25);
 }
 
 // ---- the list ----
@@ -517,13 +496,10 @@
         let play = 500 + cell as u64;
         viewer.say(&set_up(play, &[(18, &format!("home:{cell};copies:1;top:1"))]));
         let mut wire = host.accept();
-        let asked = wire.wants("SETUP");
-        wire.answer(&asked, 200, DESCRIPTION);
-        viewer.hears(ANSWER, play);
+        wire.serves(&mut viewer, play);
         // What stands at the first goes on.
         if cell > 0 {
-            wire.request("TEARDOWN", play, "Reason: cause=16\r\n");
-            viewer.hears(RELEASE, play);
+            wire.ends(&mut viewer, play);
         }
         wires.push(wire);
     }
@@ -551,9 +527,7 @@
     let mut viewer = node.viewer();
     viewer.say(&set_up(601, &[HERE]));
     let mut wire = host.accept();
-    let asked = wire.wants("SETUP");
-    wire.answer(&asked, 200, DESCRIPTION);
-    viewer.hears(ANSWER, 601);
+    wire.serves(&mut viewer, 601);
 }
 
 // ---- signals ----
@@ -662,8 +636,7 @@
     viewer.say(&set_up(40, &[at, (6, "0")]));
     viewer.hears_nothing();
     wire.request("ANNOUNCE", 40, "X-Why: r\r\nFigure: 1\r\n");
-    wire.request("TEARDOWN", 40, "Reason: cause=16\r\n");
-    assert_eq!(viewer.hears(RELEASE, 40).cause(), 16);
+    wire.ends(&mut viewer, 40);
 }
 
 /// Its viewer has no other connection, and in thin traffic none may come for long.
@@ -675,8 +648,7 @@
     let mut wire = stage.hosts[0].accept();
     let mut silent = stage.node.viewer();
     assert_eq!(silent.next(), None);
-    wire.request("TEARDOWN", 41, "Reason: cause=16\r\n");
-    assert_eq!(viewer.hears(RELEASE, 41).cause(), 16);
+    wire.ends(&mut viewer, 41);
 }
 
 #[test]
@@ -688,11 +660,8 @@
         for play in from..from + plays {
             let title = format!("{play:016x}");
             viewer.say(&set_up(play, &[HERE, (15, &title)]));
-            let asked = wire.wants("SETUP");
-            wire.answer(&asked, 200, DESCRIPTION);
-            viewer.hears(ANSWER, play);
-            wire.request("TEARDOWN", play, "Reason: cause=16\r\n");
-            viewer.hears(RELEASE, play);
+            wire.serves(&mut viewer, play);
+            wire.ends(&mut viewer, play);
         }
     };
     let servers = |from: u32| {
@@ -725,14 +694,11 @@
     let mut wire = stage.stands(&mut viewer, 60);
     for play in 61..66 {
         viewer.say(&set_up(play, &[HERE]));
-        let asked = wire.wants("SETUP");
-        wire.answer(&asked, 200, DESCRIPTION);
-        viewer.hears(ANSWER, play);
+        wire.serves(&mut viewer, play);
     }
     viewer.say(&set_up(66, &[HERE]));
     let held = wire.wants("SETUP");
-    wire.request("TEARDOWN", 60, "Reason: cause=16\r\n");
-    viewer.hears(RELEASE, 60);
+    wire.ends(&mut viewer, 60);
     viewer.say(&message(RELEASE, 61, &[(45, &[19])]));
     wire.wants("TEARDOWN");
     stage.node.logs("id=\"s-0000000a\" standing=Ready playing=4 out=1 held=5");
--- a/crates/edge/tests/peers/mod.rs
+++ b/crates/edge/tests/peers/mod.rs
@@ -282,6 +282,19 @@
         ));
     }
 
+    /// The set-up that comes next is served, and its viewer hears so.
+    pub fn serves(&mut self, viewer: &mut Viewer, play: u64) {
+        let asked = self.wants("SETUP");
+        self.answer(&asked, 200, DESCRIPTION);
+        viewer.hears(9, play);
+    }
+
+    /// A play that stands comes to its end, and its viewer hears so.
+    pub fn ends(&mut self, viewer: &mut Viewer, play: u64) {
+        self.request("TEARDOWN", play, "Reason: cause=16\r\n");
+        assert_eq!(viewer.hears(12, play).cause(), 16);
+    }
+
     pub fn reset(self) {
         socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("to be reset");
     }
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -18,6 +18,10 @@
 /// A line by its place and, in the upper half, its generation: the key of a closed one is never used again.
 pub type Key = u64;
 
+fn key_of(place: usize, generation: u32) -> Key {
+    place as u64 | u64::from(generation) << 32
+}
+
 const READ: usize = 16 << 10;
 /// Bytes that are handed to a seal at a time.
 const SEALED: usize = 64 << 10;
@@ -250,7 +254,7 @@
         stream.set_nodelay(true)?;
         self.generation = self.generation.wrapping_add(1);
         let entry = self.lines.vacant_entry();
-        let key = entry.key() as u64 | u64::from(self.generation) << 32;
+        let key = key_of(entry.key(), self.generation);
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let source = self
@@ -287,12 +291,6 @@
         (*generation == (key >> 32) as u32).then_some(line)
     }
 
-    /// What a line is for.
-    pub fn role(&self, key: Key) -> Option<&R> {
-        let (generation, line) = self.lines.get(key as u32 as usize)?;
-        (*generation == (key >> 32) as u32).then_some(&line.role)
-    }
-
     /// Whether a line of such a role has still bytes that wait to be written.
     pub fn waits(&self, of: impl Fn(&R) -> bool) -> bool {
         self.lines.iter().any(|(_, (_, line))| of(&line.role) && line.pending() > 0)
@@ -300,10 +298,7 @@
 
     /// All that are open.
     pub fn keys(&self) -> Vec<Key> {
-        self.lines
-            .iter()
-            .map(|(place, (generation, _))| place as u64 | u64::from(*generation) << 32)
-            .collect()
+        self.lines.iter().map(|(place, (generation, _))| key_of(place, *generation)).collect()
     }
 
     /// How many lines are open.
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -4,7 +4,7 @@
 use crate::posting::{Posting, Terms};
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
-use pulleystair::{Listing, Outcome};
+use pulleystair::{Listing, Outcome, Standing};
 use pulleystair_desk::Hands;
 use pulleystair_lines::Key;
 use pulleystair_lines::clocks::Clocks;
@@ -102,6 +102,13 @@
     pub(crate) lost: u32,
 }
 
+impl Server {
+    /// The list says that it is no more.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.listing.standing == Standing::Gone
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Clock {
     Desk(u32),
@@ -336,7 +343,7 @@
     pub(crate) fn dial(&mut self, number: u32) -> Option<Key> {
         let server = self.servers.get(&number)?;
         let address = server.address?;
-        if server.listing.standing == pulleystair::Standing::Gone {
+        if server.is_gone() {
             return None;
         }
         if self.wires_open() >= self.shares.servers && !self.spare_wire() {
@@ -406,7 +413,8 @@
                 best = Some(it);
             }
         }
-        let may_dial = keys.len() < self.lines_each() && self.wires_open() < self.shares.servers;
+        let has_all = keys.len() >= self.lines_each();
+        let may_dial = !has_all && self.wires_open() < self.shares.servers;
         match best {
             Some((_, 0, key)) => Some(key),
             Some((_, _, key)) if !may_dial => Some(key),
@@ -414,8 +422,7 @@
             // All its lines are of no use: one that carries nothing makes room.
             None => {
                 let idle = |key: &Key| self.wire(*key).is_some_and(|wire| wire.open.is_empty());
-                let idle = keys.iter().copied().find(idle).filter(|_| keys.len() >= self.lines_each());
-                if let Some(key) = idle {
+                if let Some(key) = keys.into_iter().find(idle).filter(|_| has_all) {
                     self.drop_wire(key);
                 }
                 self.dial(number)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
-use pulleystair::{Outcome, Standing};
+use pulleystair::Outcome;
 use pulleystair_desk::{Desk, Hands};
 use pulleystair_lines::{Key, Owner};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -191,14 +191,12 @@
     /// What is still open is answered, as the end comes before its time.
     fn answer_all(&mut self) {
         self.nothing_came();
-        let floor = &self.floor;
-        let open = floor.viewers.iter().filter_map(|key| match floor.lines.role(*key) {
-            Some(Role::Viewer(viewer)) => Some(viewer.open.clone()),
-            _ => None,
-        });
-        for play in open.flatten().collect::<Vec<u64>>() {
-            self.floor.give_up(play);
-            self.floor.failed(play);
+        for key in self.floor.viewers.clone() {
+            let open = self.floor.viewer(key).map(|viewer| viewer.open.clone());
+            for play in open.unwrap_or_default() {
+                self.floor.give_up(play);
+                self.floor.failed(play);
+            }
         }
         self.halted = true;
     }
@@ -215,7 +213,7 @@
     /// Servers that are gone and have nothing left are forgotten, in every layer.
     pub(crate) fn forget_gone(&mut self) {
         let held: HashSet<u32> = self.floor.sessions.values().filter_map(|s| s.server).collect();
-        let gone = |s: &Server| s.listing.standing == Standing::Gone && s.address.is_some();
+        let gone = |s: &Server| s.is_gone() && s.address.is_some();
         let gone = self.floor.servers.iter().filter(|(n, s)| gone(s) && !held.contains(n)).map(|(n, _)| *n);
         for number in gone.collect::<Vec<u32>>() {
             if !self.desk.forget_server(number) {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -3,7 +3,7 @@
 
 use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, News, OWED, READ, Role, Server, WITHDRAWN};
 use crate::node::{LOOK, Node};
-use pulleystair::{Figure, Outcome, Standing};
+use pulleystair::{Figure, Outcome};
 use pulleystair_lines::Key;
 use pulleystair_rtsp::{Message, Start};
 use pulleystair_signal::{self as signal, code, kind};
@@ -263,7 +263,7 @@
 
     /// Makes a connection to a server that has plays and none: it may have something to say, or be gone.
     fn call(&mut self, number: u32) {
-        let gone = |s: &Server| s.address.is_none() || s.listing.standing == Standing::Gone;
+        let gone = |s: &Server| s.address.is_none() || s.is_gone();
         if self.floor.servers.get(&number).is_some_and(gone) {
             return self.server_lost(number);
         }
@@ -291,8 +291,7 @@
         let terms = &self.floor.terms;
         let notes = terms.tells * 1.25 + SILENCE;
         let most = notes.max(OWED - HASTE - f64::from(CALLS) * (terms.dial + LOOK));
-        let gone = |s: &Server| s.listing.standing == Standing::Gone;
-        let late = |s: &Server| now - s.heard > if gone(s) { notes } else { most };
+        let late = |s: &Server| now - s.heard > if s.is_gone() { notes } else { most };
         let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() || late(s));
         let mut silent: Vec<u32> =
             self.floor.servers.iter().filter(|(_, s)| silent(s)).map(|(number, _)| *number).collect();
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -75,17 +75,17 @@
     /// Closes the oldest connection that has brought nothing, else the oldest with no open set-up; those on which sessions
     /// stand come last, as their viewers hear of the end there. What has come by now is taken first.
     fn make_room(&mut self) -> bool {
-        let floor = &self.floor;
+        let floor = &mut self.floor;
         let holds: HashSet<Key> = floor.sessions.values().filter(|s| s.playing).map(|s| s.viewer).collect();
-        let mut idle: Vec<(bool, bool, usize, Key)> = Vec::new();
-        for (place, key) in floor.viewers.iter().enumerate() {
-            let Some(Role::Viewer(viewer)) = floor.lines.role(*key) else { continue };
-            if viewer.open.is_empty() {
-                idle.push((viewer.proven, holds.contains(key), place, *key));
+        let mut idle: Vec<(bool, bool, Key)> = Vec::new();
+        for key in floor.viewers.clone() {
+            if let Some(viewer) = floor.viewer(key).filter(|viewer| viewer.open.is_empty()) {
+                idle.push((viewer.proven, holds.contains(&key), key));
             }
         }
-        idle.sort_unstable();
-        for (_, _, _, key) in idle {
+        // Those alike stay in the order in which they came.
+        idle.sort_by_key(|it| (it.0, it.1));
+        for (_, _, key) in idle {
             self.viewer_ready(key);
             if self.floor.viewer(key).is_none_or(|viewer| viewer.open.is_empty()) {
                 self.floor.sums.evicted += 1;
