Answer waiting plays in the turn in which their last hope goes, and queue their turns

Lines at fault: Front::place set ask_at to the next turn of a cold server whoever else waited for that turn too, and Desk asked again only when that timer rang, whatever had been told meanwhile (the figures that showed the holder crowded came 1.6 s earlier). Ruled out: waits for a time-out (nothing was out), probes (50 ms at most), the limit's margin.

Change: a server keeps the plays that wait for it by when they came, and a play's turn comes after theirs; one whose turn can't come in time is declined at once. The desk asks about all that wait once at the end of a host's turn in which a fact was told (turn_ends, called by the adapter, the node and the edge). Asking early counts as no further ask in the pace of cold servers.

The stories fail without the change (seen).

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -7,7 +7,7 @@
 
 use pulleystair::logic::Front;
 use pulleystair::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Steps};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
 
 /// The timer that reminds a front to ask for its list; all others are slots of plays.
@@ -106,6 +106,9 @@
     slots: Vec<(u64, Option<f64>)>,
     free: Vec<usize>,
     by_id: HashMap<u64, usize>,
+    /// Plays with no answer and no allocation out, and whether a fact was told since they were asked about.
+    waiting: BTreeSet<usize>,
+    told: bool,
     servers: Indices<u32>,
     titles: Titles,
 }
@@ -118,6 +121,8 @@
             slots: Vec::new(),
             free: Vec::new(),
             by_id: HashMap::new(),
+            waiting: BTreeSet::new(),
+            told: false,
             servers: Indices::default(),
             titles: Titles::default(),
         }
@@ -153,6 +158,7 @@
         let lines: Vec<Listing> =
             lines.iter().map(|(id, line)| Listing { server: self.servers.of(*id), ..*line }).collect();
         self.front.list(now, whole, cached, &lines);
+        self.told = true;
     }
 
     /// A server is listed as gone and its id will not come again: what is known of it is given back, unless a play in hand
@@ -196,6 +202,7 @@
     pub fn playing(&mut self, now: f64, id: u64, hands: &mut impl Hands) {
         if let Some(&ply) = self.by_id.get(&id) {
             self.front.after(now, &mut self.plays, ply, Outcome::Playing, false);
+            self.told = true;
             self.set_timer(now, ply, hands);
         }
     }
@@ -215,6 +222,7 @@
         let at = self.servers.of(server);
         let ply = self.by_id.get(&id).copied();
         let next = ply.map(|ply| (ply, self.front.after(now, &mut self.plays, ply, outcome, closed)));
+        self.told = true;
         self.figures(now, at, load, hands);
         match next {
             Some((ply, Next::Ask)) => self.ask(now, ply, hands),
@@ -245,6 +253,18 @@
         }
     }
 
+    /// To be called at the end of each turn of the host's. Facts that were told in it may have taken a waiting play's last hope, or
+    /// brought its turn: all that wait are asked about anew, once for all facts of the turn. True if any were.
+    pub fn turn_ends(&mut self, now: f64, hands: &mut impl Hands) -> bool {
+        let told = std::mem::take(&mut self.told) && !self.waiting.is_empty();
+        if told {
+            for ply in self.waiting.clone() {
+                self.ask(now, ply, hands);
+            }
+        }
+        told
+    }
+
     /// What a server tells of its load, in an answer or a probe's.
     pub fn report(&mut self, now: f64, server: u32, load: &[Figure], hands: &mut impl Hands) {
         let server = self.servers.of(server);
@@ -256,6 +276,7 @@
         let server = self.servers.of(server);
         if let Some(&ply) = self.by_id.get(&id) {
             let steps = self.front.figure(now, &mut self.plays, server, Some(ply), figure);
+            self.told = true;
             self.steps(now, &steps, hands);
         }
     }
@@ -302,10 +323,17 @@
             Place::Failed => hands.failed(id),
         }
         self.set_timer(now, ply, hands);
+        let play = &self.plays[ply];
+        if play.over || play.playing || play.server.is_some() {
+            self.waiting.remove(&ply);
+        } else {
+            self.waiting.insert(ply);
+        }
         self.release(ply);
     }
 
     fn figures(&mut self, now: f64, server: usize, load: &[Figure], hands: &mut impl Hands) {
+        self.told |= !load.is_empty();
         for figure in load {
             let steps = self.front.figure(now, &mut self.plays, server, None, *figure);
             self.steps(now, &steps, hands);
@@ -337,6 +365,7 @@
             && self.by_id.remove(&self.slots[ply].0).is_some()
         {
             self.slots[ply].1 = None;
+            self.waiting.remove(&ply);
             self.titles.give_back(self.plays[ply].title);
             self.free.push(ply);
         }
--- /dev/null
+++ b/crates/desk/tests/giving_up.rs
@@ -0,0 +1,129 @@
+//! Plays that wait hear in the same turn when their last hope goes, whatever takes it; none is held until its time is up.
+
+mod notebook;
+
+use notebook::{Deed, Notebook};
+use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing, Value};
+use pulleystair_desk::{Desk, Wish};
+use test_case::test_case;
+
+/// The second of two fronts, a product, and one holder that starts cold: a play waits for its turn there.
+fn sheet() -> CallSheet {
+    let numbers = [
+        ("balancers", 2.0),
+        ("rank", 1.0),
+        ("products.0.importance", 1.0),
+        ("products.0.first_frame_target", 1000.0),
+        ("extra.ladder_kb.0", 100.0),
+        ("extra.rung_worth.0", 1.0),
+        ("extra.link_unit_kb", 1000.0),
+        ("extra.rack_link_kb", 10_000.0),
+        ("extra.fleet_kb", 2000.0),
+        ("extra.stall_cost", 7.0),
+        ("extra.places", 2.0),
+        ("extra.places_by_kind.0", 24.0),
+        ("extra.seen_after", 0.0),
+        ("ceilings.attempts_cap", 4.0),
+        ("ceilings.retry_after", 1.0),
+        ("ceilings.max_retry_after", 500.0),
+        ("rules.cold", 12_000.0),
+        ("rules.cold_from", 0.5),
+        ("rules.overload_factor", 2.0),
+    ];
+    numbers.iter().map(|(name, value)| ((*name).to_string(), Value::Number(*value))).collect()
+}
+
+const COLD: u32 = 7;
+
+struct House {
+    desk: Desk,
+    notes: Notebook,
+    now: f64,
+}
+
+impl House {
+    fn list(&mut self, standing: Standing) {
+        let line = Listing { standing, weight: 1.0, born: 10_000.0, ..Listing::default() };
+        self.desk.list(self.now, true, false, &[(COLD, line)]);
+    }
+
+    fn take(&mut self, id: u64) {
+        let (now, limit) = (self.now, self.now + 4000.0);
+        let wish = Wish { product: 0, title: id, first_cell: 0, holders: 1, top: 0, came: now, limit };
+        self.desk.take(now, id, &wish, &mut self.notes);
+    }
+
+    /// What was asked of the hands in this turn, but for timers.
+    fn look(&mut self) -> Vec<Deed> {
+        self.desk.turn_ends(self.now, &mut self.notes);
+        std::mem::take(&mut self.notes.0).into_iter().filter(|deed| !matches!(deed, Deed::Wake(..))).collect()
+    }
+}
+
+/// One play plays at the cold server since its first turn, the next waits for its own turn there.
+fn one_waits() -> House {
+    let mut house = House { desk: Desk::new(sheet(), 1), notes: Notebook::default(), now: 12_000.0 };
+    house.list(Standing::Ready);
+    house.take(1);
+    assert!(matches!(house.look()[..], [Deed::Send { play: 1, server: COLD, .. }]));
+    house.desk.playing(house.now, 1, &mut house.notes);
+    house.now += 10.0;
+    house.take(2);
+    assert_eq!(house.look(), [], "it waits");
+    house.now += 10.0;
+    house
+}
+
+fn drains(house: &mut House) {
+    house.list(Standing::Draining);
+}
+
+fn goes(house: &mut House) {
+    house.desk.list(house.now, true, false, &[]);
+}
+
+/// What plays there is worth more than the one that waits, and gets short shares already.
+fn fills(house: &mut House) {
+    for _ in 0..2 {
+        house.now += 600.0;
+        house.desk.report(house.now, COLD, &[Figure::Link(1.3)], &mut house.notes);
+    }
+}
+
+/// What played there is cut, so the process may have been lost and be colder than it was.
+fn breaks(house: &mut House) {
+    house.now = 15_000.0;
+    house.desk.ended(house.now, 1, COLD, Outcome::Broken, true, &[], &mut house.notes);
+}
+
+#[test_case(drains)]
+#[test_case(goes)]
+#[test_case(fills)]
+#[test_case(breaks)]
+fn the_answer_comes_when_the_last_hope_goes(takes_it: fn(&mut House)) {
+    let mut house = one_waits();
+    takes_it(&mut house);
+    assert_eq!(house.look(), [Deed::Declined(2, 500.0)]);
+    assert!(house.desk.play(2).is_none());
+}
+
+#[test]
+fn a_turn_that_comes_early_is_taken_at_once() {
+    let mut house = one_waits();
+    let line = Listing { standing: Standing::Ready, weight: 1.0, ..Listing::default() };
+    let beside = Listing { cell: 0, ..line };
+    house.desk.list(house.now, false, false, &[(8, beside)]);
+    assert!(matches!(house.look()[..], [Deed::Send { play: 2, server: 8, .. }]));
+}
+
+#[test]
+fn facts_that_change_nothing_set_no_timers() {
+    let mut house = one_waits();
+    house.notes.0.clear();
+    for _ in 0..50 {
+        house.now += 1.1;
+        house.desk.report(house.now, COLD, &[Figure::Link(0.2)], &mut house.notes);
+        house.desk.turn_ends(house.now, &mut house.notes);
+    }
+    assert_eq!(house.notes.0.len(), 0, "{:?}", house.notes.0);
+}
--- a/crates/desk/tests/simulated.rs
+++ b/crates/desk/tests/simulated.rs
@@ -1,13 +1,16 @@
 //! The real desks and decisions of three fronts in simulated time, with servers that fail in every way a host can tell:
 //! what players and servers would have seen is a history, and the checker of the rules judges it. One number draws a day.
 
+mod notebook;
+
+use notebook::{Deed, Notebook};
 use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing, Value};
-use pulleystair_desk::{Desk, Hands, Wish};
+use pulleystair_desk::{Desk, Wish};
 use pulleystair_witness::history::History;
 use pulleystair_witness::rules::{Budget, Effect, Group, Product, Terms};
 use pulleystair_witness::{Seen, What};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap};
 use test_case::test_case;
 
 const FRONTS: usize = 3;
@@ -17,44 +20,6 @@
 const LIMIT: f64 = 2_000.0;
 const SEATS: usize = 4;
 
-/// What the hands were asked to do.
-enum Deed {
-    Send { play: u64, server: u32, rung: usize, time_out: f64 },
-    Withdraw(u64),
-    Step(u64, usize),
-    Probe(u32),
-    Answer(u64, u16),
-    Wake(u32, f64),
-}
-
-#[derive(Default)]
-struct Notebook(VecDeque<Deed>);
-
-impl Hands for Notebook {
-    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
-        self.0.push_back(Deed::Send { play, server, rung, time_out });
-    }
-    fn withdraw(&mut self, play: u64) {
-        self.0.push_back(Deed::Withdraw(play));
-    }
-    fn step(&mut self, play: u64, rung: usize) {
-        self.0.push_back(Deed::Step(play, rung));
-    }
-    fn probe(&mut self, server: u32) {
-        self.0.push_back(Deed::Probe(server));
-    }
-    fn declined(&mut self, play: u64, _pause: f64) {
-        self.0.push_back(Deed::Answer(play, 503));
-    }
-    fn failed(&mut self, play: u64) {
-        self.0.push_back(Deed::Answer(play, 504));
-    }
-    fn wake(&mut self, mark: u32, wait: f64) {
-        self.0.push_back(Deed::Wake(mark, wait));
-    }
-    fn follow(&mut self) {}
-}
-
 #[derive(Clone, Copy)]
 enum Event {
     Ask(usize),
@@ -225,7 +190,7 @@
             .filter(|l| l.standing != Standing::Gone)
             .map(|l| (l.server as u32, *l))
             .collect();
-        self.desks[front].list(self.now, true, false, &lines);
+        self.call(front, |desk, now, _| desk.list(now, true, false, &lines));
     }
 
     fn load(&mut self, server: usize) -> Vec<Figure> {
@@ -238,6 +203,7 @@
     fn call(&mut self, front: usize, call: impl FnOnce(&mut Desk, f64, &mut Notebook)) {
         let mut notes = Notebook::default();
         call(&mut self.desks[front], self.now, &mut notes);
+        self.desks[front].turn_ends(self.now, &mut notes);
         while let Some(deed) = notes.0.pop_front() {
             match deed {
                 Deed::Send { play, server, rung, time_out } => {
@@ -251,7 +217,8 @@
                     }
                 }
                 Deed::Probe(server) => self.after(self.now, 5.0, Event::Probed(front, server)),
-                Deed::Answer(play, status) => self.answer(front, play, status),
+                Deed::Declined(play, _) => self.answer(front, play, 503),
+                Deed::Failed(play) => self.answer(front, play, 504),
                 Deed::Wake(mark, wait) => self.after(self.now, wait, Event::Wake(front, mark)),
             }
         }
--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -4,7 +4,7 @@
 use pulleystair::{CallSheet, Figure, Listing, Outcome, Standing};
 use pulleystair_desk::{Desk, Hands, Wish};
 use pulleystair_sheet::{Columns, call_sheet};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 struct Instance {
     desk: Desk,
@@ -42,6 +42,7 @@
         let clock = body.first_chunk::<8>().ok_or("a batch ends within its clock")?;
         let now = u64::from_le_bytes(*clock) as f64 / 1000.0;
         let mut reply = Reply::default();
+        let mut told = BTreeSet::new();
         for record in records(&body[8..]) {
             let (code, at, fields) = record?;
             // Codes of a later wire are passed over.
@@ -53,6 +54,7 @@
                 continue;
             }
             let who = f.u32()?;
+            told.insert(who);
             if code == 16 {
                 let salt = f.u64()?;
                 let size = f.u32()? as usize;
@@ -72,6 +74,11 @@
                 eprintln!("pulleystair-drill: {}", f.fault(&format!("there is no instance {who}")));
             }
         }
+        for who in told {
+            if let Some(instance) = self.instances.get_mut(&who) {
+                instance.desk.turn_ends(now, &mut Wire { who, reply: &mut reply });
+            }
+        }
         Ok(reply.0)
     }
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -98,6 +98,9 @@
         let wait = edge.floor.clocks.wait();
         event_loop.dispatch(wait, &mut edge)?;
         edge.ring();
+        while edge.desk.turn_ends(edge.floor.now(), &mut edge.floor) {
+            edge.settle();
+        }
         let now = edge.floor.now();
         edge.floor.lag.round_ends(now);
         edge.floor.wall.look(now, since_1970().as_secs_f64() * 1000.0);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -93,6 +93,9 @@
             let Some(key) = node.floor.again.pop_front() else { break };
             node.line_ready(key);
         }
+        while node.desk.turn_ends(node.floor.now(), &mut node.floor) {
+            node.settle();
+        }
     }
     info!(target: "node", sums = ?node.floor.sums, open = node.floor.deciding, standing = node.floor.sessions.len(), "stopped");
     Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,8 @@
     pub erred: Vec<usize>,
     /// Servers were probed for its next allocation.
     pub sounded: bool,
+    /// The cold or doubted server that it waits for.
+    pub waits: Option<usize>,
     pub sent: f64,
     pub started: f64,
     pub ask_at: f64,
@@ -67,7 +69,8 @@
         rung: usize,
         time_out: f64,
     },
-    /// It is to be asked about again once `wait` has passed; meanwhile these servers are to be probed.
+    /// It is to be asked about again once `wait` has passed, and after a turn in which the decisions were told
+    /// a fact, which may have taken its last hope; meanwhile these servers are to be probed.
     NotYet {
         sound_out: Vec<usize>,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -141,6 +141,8 @@
     /// Plays that could have gone there, each fading over MEMORY, and when the last was counted.
     asks: (f64, f64),
     plays: Vec<usize>,
+    /// Plays that wait for their turn there, by when they came.
+    queue: Vec<(f64, usize)>,
 }
 
 impl Server {
@@ -354,6 +356,7 @@
 
     /// The viewer left; an allocation may still be out.
     pub fn left(&mut self, plays: &mut [Play], ply: usize) {
+        self.leave_queue(plays, ply);
         plays[ply].over = true;
     }
 
@@ -424,28 +427,39 @@
         let seated = self.seats.get(&(product, title)).is_some_and(|n| seats > 0 && *n >= seats);
         let out_of_turn = plays[ply].allocations > 0 && !self.may_allocate_again(now, &plays[ply]);
         if seated || out_of_turn || now >= plays[ply].limit - 1.0 {
-            return (self.never(&mut plays[ply]), Vec::new());
+            return (self.never(plays, ply), Vec::new());
         }
 
         // Holders that may be sent to at all; those that failed this play only if there are no others.
         let mut holders = prefer(self.holders(&plays[ply]), |s| !plays[ply].tried.contains(s));
         holders.retain(|s| !self.crowded(plays, *s, &plays[ply]));
         if holders.is_empty() {
-            return (self.never(&mut plays[ply]), Vec::new());
+            return (self.never(plays, ply), Vec::new());
         }
-        for s in &holders {
+        // A caller asks anew about plays that wait whenever it has told a fact; that is no further play.
+        let (early, waited) = (now < plays[ply].ask_at - 0.01, plays[ply].waits.is_some());
+        for s in holders.iter().filter(|_| !early) {
             let asks = &mut self.servers[*s].asks;
             *asks = (1.0 + asks.0 * ((asks.1 - now) / MEMORY).exp(), now);
         }
-        // Cold and doubted holders take plays at their pace only; a play that finds no other waits for it.
-        let mut open = holders.clone();
-        open.retain(|s| self.pace(now, *s) <= now);
+        // Cold and doubted holders take plays at their pace only; a play that finds no other waits its turn.
+        self.leave_queue(plays, ply);
+        let came = plays[ply].came;
+        let turns: Vec<f64> = holders.iter().map(|s| self.turn(now, *s, came)).collect();
+        let mut open: Vec<usize> =
+            (0..holders.len()).filter(|i| turns[*i] <= now).map(|i| holders[i]).collect();
         if open.is_empty() {
-            let soonest = holders.iter().map(|s| self.pace(now, *s)).fold(f64::MAX, f64::min);
-            if soonest >= plays[ply].limit - 200.0 {
-                return (self.never(&mut plays[ply]), Vec::new());
+            let soonest = (0..turns.len()).min_by(|a, b| turns[*a].total_cmp(&turns[*b])).unwrap_or(0);
+            if turns[soonest] >= plays[ply].limit - 200.0 {
+                return (self.never(plays, ply), Vec::new());
             }
-            plays[ply].ask_at = soonest.max(now + 1.0);
+            (plays[ply].waits, plays[ply].ask_at) = (Some(holders[soonest]), turns[soonest].max(now + 1.0));
+            let queue = &mut self.servers[holders[soonest]].queue;
+            queue.insert(queue.partition_point(|q| q.0 <= came), (came, ply));
+            return (Place::NotYet { sound_out: Vec::new() }, Vec::new());
+        }
+        // Until the answers of its probes are due it waits for them.
+        if early && !waited {
             return (Place::NotYet { sound_out: Vec::new() }, Vec::new());
         }
         // A live title's viewers share a stream: scattered by the lottery few would, so holders that stream
@@ -532,6 +546,9 @@
     pub fn after(&mut self, now: f64, plays: &mut [Play], ply: usize, what: Outcome, closed: bool) -> Next {
         let Some(s) = plays[ply].server else {
             plays[ply].over |= closed;
+            if closed {
+                self.leave_queue(plays, ply);
+            }
             return Next::Nothing;
         };
         if what == Outcome::Playing {
@@ -562,7 +579,7 @@
         if !matches!(what, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
             play.ran_at.get_or_insert((s, play.sent));
         }
-        (play.server, play.sounded) = (None, false);
+        (play.server, play.sounded, play.ask_at) = (None, false, now);
         play.tried.push(s);
         play.rung = self.products[play.product].floor;
         play.over |= closed || play.playing;
@@ -629,7 +646,9 @@
         span
     }
 
-    fn never(&self, play: &mut Play) -> Place {
+    fn never(&mut self, plays: &mut [Play], ply: usize) -> Place {
+        self.leave_queue(plays, ply);
+        let play = &mut plays[ply];
         play.over = true;
         let product = &self.products[play.product];
         let refusable = match product.effect.as_str() {
@@ -655,18 +674,27 @@
         short > 0.0 && worth(play) * (1.0 - stall * short) <= takes
     }
 
-    /// When the server may next be sent to: cold and doubted ones by this front's part of the warm-up's pace.
-    /// Fronts take their first turns by rank, so that their parts do not fall together. Guards against
-    /// rushing what has just come back, listed or not, and gives what fails or is silent a way back by few
-    /// trials; it makes plays wait whose holders all look so.
-    fn pace(&self, now: f64, s: usize) -> f64 {
+    /// When the server may be sent this play: cold and doubted ones by this front's part of the warm-up's
+    /// pace, after the plays that have waited for it longer. Fronts take their first turns by rank, so that
+    /// their parts do not fall together. Guards against rushing what has just come back, listed or not, and
+    /// gives what fails or is silent a way back by few trials; it makes plays wait whose holders all look so,
+    /// and lets those go at once whose turn can't come.
+    fn turn(&self, now: f64, s: usize, came: f64) -> f64 {
         let server = &self.servers[s];
         let cold = now < server.cold_since + self.rule("rules.cold", 0.0);
         if !cold && !server.doubted() {
             return now;
         }
         let first = server.cold_since + self.gap(server.cold_since, s) * self.rank / self.fronts;
-        server.next_pace.max(first)
+        let turn = server.next_pace.max(first).max(now);
+        let ahead = server.queue.partition_point(|q| q.0 < came) as f64;
+        turn + ahead * self.gap(turn + ahead * self.gap(turn, s) / 2.0, s)
+    }
+
+    fn leave_queue(&mut self, plays: &mut [Play], ply: usize) {
+        if let Some(s) = plays[ply].waits.take() {
+            self.servers[s].queue.retain(|q| q.1 != ply);
+        }
     }
 
     fn gap(&self, now: f64, s: usize) -> f64 {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -197,6 +197,7 @@
         while let Some(_server) = host.sent_to(ply) {
             host.after(ply, Outcome::Broken);
         }
+        host.front.left(&mut host.plays, ply);
     }
     host.now += 5000.0;
     let (first, second) = (host.take(0, 1), host.take(0, 1));
@@ -320,6 +321,116 @@
     assert_eq!(host.ask(ply), Place::Declined { pause: 500.0 }, "at once, with a time to come back");
 }
 
+/// What each play is given up on for is met in the same turn as the ask.
+#[test_case(1.0, 500.0; "with the longest time to come back that viewers heed")]
+#[test_case(0.0, 0.0; "with none where they heed none")]
+fn what_is_given_up_on_is_answered_at_once(heeded: f64, pause: f64) {
+    let mut answers = Vec::new();
+    let mut given_up = |what: &str, changes: &[(&str, f64)], ask: fn(&mut Host) -> usize| {
+        let heeded = [("ceilings.retry_after", heeded)];
+        let mut host = Host::new(&[changes, &heeded].concat());
+        let ply = ask(&mut host);
+        answers.push((what.to_string(), host.ask(ply)));
+        assert!(host.plays[ply].over && host.front.wait(host.now, &host.plays[ply]).is_none(), "{what}");
+    };
+    given_up("no holder is listed", &[], |host| {
+        host.lines.iter_mut().for_each(|l| l.standing = Standing::Gone);
+        host.list();
+        host.take(0, 4)
+    });
+    given_up("every seat is taken", &[("extra.seats.0", 1.0)], |host| {
+        host.start(0, 4);
+        host.take(0, 4)
+    });
+    given_up("as many allocations as may be", &[("ceilings.attempts_cap", 2.0)], |host| {
+        let ply = host.take(0, 4);
+        while host.sent_to(ply).is_some() && host.plays[ply].allocations < 2 {
+            host.after(ply, Outcome::Full);
+        }
+        host.after(ply, Outcome::Full);
+        ply
+    });
+    given_up("the budget is spent", &[("rules.budget_share", 0.0), ("rules.budget_span", 5000.0)], |host| {
+        let ply = host.take(0, 4);
+        host.ask(ply);
+        host.after(ply, Outcome::TimedOut);
+        ply
+    });
+    given_up("its time is up", &[], |host| {
+        let ply = host.take(0, 4);
+        host.now = host.plays[ply].limit;
+        ply
+    });
+    given_up("its turn at a cold server comes too late", &[("balancers", 30.0), ("rank", 29.0)], |host| {
+        host.lines[0].born = host.now;
+        host.list();
+        host.take(0, 1)
+    });
+    given_up("too many wait for that turn before it", &[], |host| {
+        host.lines[0].born = host.now;
+        host.list();
+        // 24 places over 12 s, half warm, twice that tips it over, of which 0.6: a turn each 0.8 s.
+        while let Place::NotYet { .. } | Place::Send { .. } = {
+            let ply = host.take(0, 1);
+            host.now += 1.0;
+            host.ask(ply)
+        } {
+            assert!(host.plays.len() < 10, "the queue for a cold server has an end");
+        }
+        assert!(host.plays.len() > 4, "turns that come in time are waited for");
+        host.take(0, 1)
+    });
+    for (what, answer) in answers {
+        assert_eq!(answer, Place::Declined { pause }, "{what}");
+    }
+}
+
+#[test_case("non_idempotent", 0.0; "a paid set-up")]
+#[test_case("idempotency_key", 3500.0; "a keyed one past its window")]
+fn what_may_have_run_fails_at_once(effect: &str, wait: f64) {
+    let mut host = Host::of(sheet(&[("products.0.repeat_window", 3000.0)], effect));
+    let ply = host.take(0, 4);
+    host.ask(ply);
+    host.now += wait;
+    assert_eq!(host.after(ply, Outcome::TimedOut), Next::Ask);
+    assert_eq!((host.ask(ply), host.plays[ply].over), (Place::Failed, true));
+}
+
+#[test]
+fn a_play_stepped_down_before_it_plays_is_asked_about_once_its_allocation_fails() {
+    let mut host = Host::new(&[]);
+    let ply = host.take(0, 2);
+    let Place::Send { server, rung, .. } = host.ask(ply) else { panic!("it is sent") };
+    for _ in 0..2 {
+        host.now += 600.0;
+        host.measure(server, 2.5);
+    }
+    assert!(host.plays[ply].rung < rung, "its server is short meanwhile");
+    assert_eq!(host.after(ply, Outcome::TimedOut), Next::Ask);
+    assert_eq!(host.sent_to(ply), Some(1 - server), "no spell is waited for");
+}
+
+#[test]
+fn plays_take_their_turns_at_a_cold_server_in_the_order_in_which_they_came() {
+    let mut host = Host::new(&[]);
+    host.lines[0].born = host.now;
+    host.list();
+    let first = host.take(0, 1);
+    assert_eq!(host.sent_to(first), Some(0));
+    let mut due = Vec::new();
+    for _ in 0..3 {
+        host.now += 1.0;
+        let ply = host.take(0, 1);
+        assert_eq!(host.ask(ply), Place::NotYet { sound_out: vec![] });
+        due.push(host.plays[ply].ask_at);
+    }
+    assert!(due[0] < due[1] && due[1] < due[2], "each has a turn of its own: {due:?}");
+    host.now = due[0];
+    let late = host.take(0, 1);
+    assert_eq!(host.ask(late), Place::NotYet { sound_out: vec![] }, "not before those that wait");
+    assert_eq!(host.sent_to(1), Some(0));
+}
+
 #[test]
 fn viewers_of_a_live_title_share_a_stream() {
     let mut host = Host::new(&[("extra.class_live.0", 1.0), ("extra.join", 0.2)]);
