Decline what is open when a node ends, unless a paid set-up may have run

Ruled out that it decides: it did, past the desk. Now the desk ends them (time_is_up): what is out is withdrawn, and the module gives each its answer, as at a time limit.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -242,6 +242,21 @@
         }
     }
 
+    /// The host stops and can hold nothing any longer: for all that has no answer yet, the time is up.
+    pub fn time_is_up(&mut self, now: f64, hands: &mut impl Hands) {
+        let mut open: Vec<usize> =
+            self.by_id.values().copied().filter(|ply| !self.plays[*ply].playing).collect();
+        open.sort_unstable();
+        for ply in open {
+            self.plays[ply].limit = now;
+            if self.plays[ply].server.is_some() {
+                hands.withdraw(self.slots[ply].0);
+            } else {
+                self.ask(now, ply, hands);
+            }
+        }
+    }
+
     /// A timer rings.
     pub fn rings(&mut self, now: f64, mark: u32, hands: &mut impl Hands) {
         let ply = mark as usize;
--- a/crates/desk/tests/giving_up.rs
+++ b/crates/desk/tests/giving_up.rs
@@ -107,6 +107,21 @@
     assert!(house.desk.play(2).is_none());
 }
 
+#[test]
+fn a_host_that_stops_has_all_answered_and_what_is_out_withdrawn() {
+    let mut house = one_waits();
+    house.desk.time_is_up(house.now, &mut house.notes);
+    assert_eq!(house.look(), [Deed::Declined(2, 500.0)], "what plays goes on");
+    let mut house = House { desk: Desk::new(sheet(), 1), notes: Notebook::default(), now: 12_000.0 };
+    house.list(Standing::Ready);
+    house.take(1);
+    house.look();
+    house.desk.time_is_up(house.now, &mut house.notes);
+    assert_eq!(house.look(), [Deed::Withdraw(1)]);
+    house.desk.ended(house.now, 1, COLD, Outcome::Withdrawn, false, &[], &mut house.notes);
+    assert_eq!(house.look(), [Deed::Declined(1, 500.0)], "and not sent again");
+}
+
 #[test]
 fn a_turn_that_comes_early_is_taken_at_once() {
     let mut house = one_waits();
--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -19,10 +19,20 @@
 }
 
 fn stage_of(sockets: usize) -> Stage {
+    stage_told(sockets, &[])
+}
+
+/// A stage whose node is told otherwise in places of its settings.
+fn stage_told(sockets: usize, otherwise: &[(&str, &str)]) -> Stage {
     let hosts = vec![Host::start("s-0000000a", 0), Host::start("s-0000000b", 1)];
     let names = Names::start(hosts.iter().map(Host::record).collect());
     let all: Vec<&Host> = hosts.iter().collect();
-    let node = Node::start(&Node::posting(names.at, &all, sockets, 3_000_000));
+    let mut posting = Node::posting(names.at, &all, sockets, 3_000_000);
+    for (was, is) in otherwise {
+        assert!(posting.contains(was), "{was}");
+        posting = posting.replace(was, is);
+    }
+    let node = Node::start(&posting);
     Stage { node, names, hosts }
 }
 
@@ -200,6 +210,28 @@
     assert!(since.elapsed() < Duration::from_millis(2_900), "not held back to its time limit");
 }
 
+/// The next turn at the only holder, which has just started, is a minute away; its viewer would wait for two.
+#[test]
+fn a_play_that_waits_for_a_cold_server_hears_when_that_goes() {
+    let cold = [
+        (r#""coldUs":0"#, r#""coldUs":90000000"#),
+        (r#""placesByKind":[1000.0]"#, r#""placesByKind":[2.0]"#),
+    ];
+    let stage = stage_told(256, &cold);
+    let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    let cold = Record { started: started.as_millis() as u64, ..stage.hosts[0].record() };
+    stage.names.change(|zone| (zone.serial, zone.records) = (2, vec![cold.clone()]));
+    stage.node.logs("serial=2");
+    let mut viewer = stage.node.viewer();
+    let _first = stage.stands(&mut viewer, 60);
+    viewer.say(&set_up(61, &[HERE, (6, "120000")]));
+    viewer.hears_nothing();
+    stage.names.change(|zone| (zone.serial, zone.records) = (3, vec![Record { draining: true, ..cold }]));
+    let told = viewer.hears(RELEASE, 61);
+    assert_eq!((told.cause(), told.get(21)), (34, Some(b"500".as_slice())));
+    stage.node.logs("serial=3");
+}
+
 #[test]
 fn a_holder_that_refuses_connections_costs_a_play_nothing_but_the_way() {
     let mut stage = stage();
@@ -607,7 +639,8 @@
     viewer.say(&set_up(39, &[(6, "60000")]));
     let held = stage.next_at(usize::from(wait_any(&stage)));
     stage.node.signal("TERM");
-    viewer.hears(RELEASE, 39);
+    let told = viewer.hears(RELEASE, 39);
+    assert_eq!((told.cause(), told.get(21)), (34, Some(b"500".as_slice())), "it may be asked for again");
     assert!(stage.node.ended().success());
     drop(held);
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
 use pulleystair::Outcome;
-use pulleystair_desk::{Desk, Hands};
+use pulleystair_desk::Desk;
 use pulleystair_lines::{Key, Owner};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::HashSet;
@@ -194,13 +194,8 @@
     /// What is still open is answered, as the end comes before its time.
     fn answer_all(&mut self) {
         self.nothing_came();
-        for key in self.floor.viewers.clone() {
-            let open = self.floor.viewer(key).map(|viewer| viewer.open.clone());
-            for play in open.unwrap_or_default() {
-                self.floor.give_up(play);
-                self.floor.failed(play);
-            }
-        }
+        self.desk.time_is_up(self.floor.now(), &mut self.floor);
+        self.settle();
         self.halted = true;
     }
 
