Refuse settings that can't be meant at the start, with path and cause

Seen by starting the node: it listened with a text for the ladder, with a negative time limit and with no settings at all, and an effect that is not known was read as a leave to set plays up again (flatten in crates/sheet takes any type; the module's number() and text() fall back to defaults). Ruled out that serde refuses them: the settings are free JSON.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -648,13 +648,27 @@
 #[test_case("{", "config.json"; "no JSON")]
 #[test_case(r#"{"listen":"nowhere"}"#, "listen"; "a wrong address")]
 fn a_bad_posting_ends_the_start_with_place_and_cause(posting: &str, place: &str) {
+    refuses_to_start(posting, place);
+}
+
+fn refuses_to_start(posting: &str, place: &str) {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
     std::fs::write(&path, posting).expect("a file");
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_pulleystair-edge"));
     let out = command.arg("node").env("PROXY_CONFIG", &path).output().expect("it runs");
     let said = String::from_utf8_lossy(&out.stderr).to_string();
-    assert!(!out.status.success() && said.contains(place), "{said}");
+    assert!(out.status.code() == Some(1) && said.contains(place), "{said}");
+}
+
+#[test_case(r#""worth":1.0"#, r#""worth":"dear""#, "settings: lanes[0].worth is \"dear\""; "the wrong type")]
+#[test_case(r#""effect":"read_like""#, r#""effect":"as_you_like""#, "settings: lanes[0].effect is"; "a word that is not known")]
+#[test_case("[100.0,200.0]", "[200.0,100.0]", "settings: extra.ladderKb[1] is 100.0"; "a ladder that falls")]
+#[test_case(r#""coldUs":0"#, r#""coldUs":-1"#, "settings: rules.coldUs is -1"; "out of range")]
+fn settings_that_cannot_be_meant_end_the_start_with_place_and_cause(was: &str, is: &str, fault: &str) {
+    let posting = Node::posting(([127, 0, 0, 1], 9).into(), &[], 256, 3_000_000);
+    assert!(posting.contains(was));
+    refuses_to_start(&posting.replace(was, is), fault);
 }
 
 // ---- adoption, memory, belief ----
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -1,6 +1,8 @@
 //! The platform's settings, nested JSON with words of its own, as the call sheet that the decisions are given; and which
 //! figure each value of a load report is. For all that speak the platform's words: the bench's adapter and the node. No I/O.
 
+mod check;
+
 use pulleystair::{CallSheet, Figure, Value};
 use serde_json::Value as Json;
 
@@ -15,6 +17,7 @@
     if !json.is_object() {
         return Err("its settings are no JSON object".into());
     }
+    check::check(json)?;
     let mut sheet = CallSheet::new();
     flatten("", json, &mut sheet);
     Ok(sheet)
