Bound the rounds of questions about waiting plays; the front declines what is open at its end

Profile (perf, dwarf): Desk::ask 41% of the front's time, 24% of it all in Front::crowded, which summed the plays of a holder before it asked whether that is short. It asks first now (the same answer), and the desk asks about 32 waiting plays at once and one each ms, in rounds.

The front's end (stop_ms): what waits in its queue or is out is declined by the desk (time_is_up) with a time to come back, 504 before; a paid set-up that may have run fails as before.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -7,11 +7,16 @@
 
 use pulleystair::logic::Front;
 use pulleystair::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Steps};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::Hash;
 
 /// The timer that reminds a front to ask for its list; all others are slots of plays.
 const FOLLOW: u32 = u32::MAX;
+/// The timer of a round that is not through.
+const ROUND: u32 = u32::MAX - 1;
+/// So many waiting plays are asked about anew in one turn, and in each ms, at most: a crowd that waits must not hold up the rest.
+const AT_ONCE: f64 = 32.0;
+const EACH_MS: f64 = 1.0;
 
 /// What a host does for a desk. Each call is made while the host's own call into the desk runs.
 pub trait Hands {
@@ -106,9 +111,13 @@
     slots: Vec<(u64, Option<f64>)>,
     free: Vec<usize>,
     by_id: HashMap<u64, usize>,
-    /// Plays with no answer and no allocation out, and whether a fact was told since they were asked about.
+    /// Plays with no answer and no allocation out, and whether a fact was told since the last round of questions about them.
     waiting: BTreeSet<usize>,
     told: bool,
+    /// The rest of a round, whether its timer runs, how many may be asked about now, and when that was reckoned.
+    round: VecDeque<usize>,
+    runs: bool,
+    may_ask: (f64, f64),
     servers: Indices<u32>,
     titles: Titles,
 }
@@ -123,6 +132,9 @@
             by_id: HashMap::new(),
             waiting: BTreeSet::new(),
             told: false,
+            round: VecDeque::new(),
+            runs: false,
+            may_ask: (AT_ONCE, 0.0),
             servers: Indices::default(),
             titles: Titles::default(),
         }
@@ -260,7 +272,9 @@
     /// A timer rings.
     pub fn rings(&mut self, now: f64, mark: u32, hands: &mut impl Hands) {
         let ply = mark as usize;
-        if mark == FOLLOW {
+        if mark == ROUND {
+            self.runs = false;
+        } else if mark == FOLLOW {
             self.follow(false, hands);
         } else if self.slots.get(ply).and_then(|s| s.1).is_some_and(|due| due <= now) {
             self.slots[ply].1 = None;
@@ -269,15 +283,27 @@
     }
 
     /// To be called at the end of each turn of the host's. Facts that were told in it may have taken a waiting play's last hope, or
-    /// brought its turn: all that wait are asked about anew, once for all facts of the turn. True if any were.
+    /// brought its turn: all that wait are asked about anew, once for all facts of the turn; a crowd over several turns. True if
+    /// any were.
     pub fn turn_ends(&mut self, now: f64, hands: &mut impl Hands) -> bool {
-        let told = std::mem::take(&mut self.told) && !self.waiting.is_empty();
-        if told {
-            for ply in self.waiting.clone() {
+        if self.round.is_empty() && std::mem::take(&mut self.told) {
+            self.round.extend(&self.waiting);
+        }
+        let mut asked = false;
+        self.may_ask = ((self.may_ask.0 + (now - self.may_ask.1) * EACH_MS).clamp(0.0, AT_ONCE), now);
+        while self.may_ask.0 >= 1.0 {
+            let Some(ply) = self.round.pop_front() else { break };
+            if self.waiting.contains(&ply) {
+                self.may_ask.0 -= 1.0;
                 self.ask(now, ply, hands);
+                asked = true;
             }
         }
-        told
+        if !self.round.is_empty() && !self.runs {
+            self.runs = true;
+            hands.wake(ROUND, 1.0);
+        }
+        asked
     }
 
     /// What a server tells of its load, in an answer or a probe's.
--- a/crates/desk/tests/giving_up.rs
+++ b/crates/desk/tests/giving_up.rs
@@ -131,6 +131,30 @@
     assert!(matches!(house.look()[..], [Deed::Send { play: 2, server: 8, .. }]));
 }
 
+/// Each of a hundred plays waits for its turn when their server goes; some of them hear in the same turn, the rest soon.
+#[test]
+fn a_crowd_that_waits_is_answered_over_several_turns() {
+    let mut house = one_waits();
+    house.desk = Desk::new(sheet().into_iter().chain([pace(2_000.0)]).collect(), 1);
+    house.list(Standing::Ready);
+    (0..100).for_each(|id| house.take(id));
+    house.notes.0.clear();
+    drains(&mut house);
+    let mut told = Vec::new();
+    while told.len() < 99 {
+        let now = house.look();
+        assert!(now.len() <= 32 && house.now < 30_000.0, "{now:?}");
+        told.extend(now);
+        house.now += 10.0;
+    }
+    let declined = |id| told.iter().filter(|deed| **deed == Deed::Declined(id, 500.0)).count();
+    assert!((1..100).all(|id| declined(id) == 1), "{told:?}");
+}
+
+fn pace(places: f64) -> (String, Value) {
+    ("extra.places_by_kind.0".into(), Value::Number(places))
+}
+
 #[test]
 fn facts_that_change_nothing_set_no_timers() {
     let mut house = one_waits();
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -345,12 +345,15 @@
     /// The time to run on has passed: what is in hand gets its final answer.
     fn give_up(&mut self) {
         for play in self.floor.book.held() {
-            let deciding = self.floor.book.get(play).is_some_and(|s| s.life().deciding());
-            if deciding {
-                self.give_up_on(play, "front stopped", words(504, "this front has stopped"));
-            } else {
-                self.finish(play, "front stopped");
+            if self.floor.queue.left(play) {
+                let answer = self.floor.away("this front has stopped");
+                self.floor.over(play, "front stopped", answer);
             }
+        }
+        self.desk.time_is_up(self.floor.now(), &mut self.floor);
+        self.settle();
+        for play in self.floor.book.held() {
+            self.finish(play, "front stopped");
             self.settle();
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -670,12 +670,15 @@
     fn crowded(&self, plays: &[Play], s: usize, play: &Play) -> bool {
         let (uplink, pipe) = self.shorter(s, Pipe::short_twice);
         let short = pipe.short_twice() - 1.0;
+        if short <= 0.0 {
+            return false;
+        }
         let stall = self.rule("extra.stall_cost", 0.0);
         let worth = |p: &Play| self.products[p.product].importance * self.earns[p.rung];
         let scope = self.scope(s, uplink);
         let there: f64 = scope.iter().flat_map(|s| &self.servers[*s].plays).map(|o| worth(&plays[*o])).sum();
         let takes = self.rate(play, play.rung) / pipe.size * stall * there * pipe.fronts;
-        short > 0.0 && worth(play) * (1.0 - stall * short) <= takes
+        worth(play) * (1.0 - stall * short) <= takes
     }
 
     /// When the server may be sent this play: cold and doubted ones by this front's part of the warm-up's
