A newer known read at SIGHUP makes no server count as just started

After SIGHUP with a newer known, take_list(whole, cached=true) in crates/node/src/listing.rs set cold_since of all servers to now (facts.rs list), so each was paced as just started until a newer answer came, and one of the same serial vouched for nothing (the line 'same && !asking.heard'). In the story below a pace of one a minute let the first play through and held the second for its whole time (test without the mend: 'nothing came' after 10 s). Ruled out: that a cold server loses its coldness by it (cold_since only grows in list); that the start is touched (not heard yet: as before). Checked in the code and found as it should be: after SIGTERM the door stays open 0.9 s and set-ups on open connections are taken until the end (viewers.rs message, no look at stopping); the last answer 0.6 s after the longest limit, 0.1 s before SIGKILL (node.rs MARGIN); an older, doubled or equal serial changes nothing once heard; floors stand in settings and are the lowest rung of every answer.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -581,6 +581,29 @@
     viewer.hears(RELEASE, 35);
 }
 
+/// A newer file in service tells of starts as the name service does: what it lists as old has not just started, and takes
+/// plays beside each other. Under a server's pace of one a minute the second would wait out its time.
+#[test]
+fn a_newer_known_in_service_makes_no_server_cold() {
+    let cold = [
+        (r#""coldUs":0"#, r#""coldUs":90000000"#),
+        (r#""placesByKind":[1000.0]"#, r#""placesByKind":[2.0]"#),
+    ];
+    let stage = stage_told(256, &cold);
+    stage.node.logs("serial=1");
+    let silent = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let all: Vec<&Host> = stage.hosts.iter().collect();
+    let at = silent.local_addr().expect("its address");
+    let newer = Node::posting(at, &all, 256, 3_000_000).replace(r#""known":{"rev":1"#, r#""known":{"rev":2"#);
+    stage.node.rewrite(&newer);
+    stage.node.signal("HUP");
+    stage.node.logs("name service changed");
+    let mut viewer = stage.node.viewer();
+    let mut wire = stage.stands(&mut viewer, 71);
+    viewer.say(&set_up(72, &[HERE]));
+    assert_eq!(wire.wants("SETUP").session(), 72);
+}
+
 /// Each signal started a further round of questions beside those that there were.
 #[test]
 fn sighup_makes_the_list_asked_for_no_oftener() {
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -69,12 +69,13 @@
 }
 
 impl Node {
-    /// The events of the start, in their order.
+    /// The events of the start, or those of a new file, in their order. Before the name service was heard they may be older
+    /// than what they tell of; later they are taken for being newer, and tell of starts as its answers do.
     pub(crate) fn take_known(&mut self) {
         let notices = std::mem::take(&mut self.floor.posting.known.notices);
         for notice in &notices {
             let (whole, lines) = notice.lines();
-            self.take_list(whole, true, &lines);
+            self.take_list(whole, !self.asking.heard, &lines);
         }
         self.asking.rev = Some(self.floor.posting.known.rev);
     }
