Split the decisions into six files; hand out the odds; take what other fronts let know

New in the module, all without effect unless told: Place::Send has the odds of its draw (no random number more), Front::given takes doubt on hearsay, the part of a server's pace and gaps of further allocations and probes, goes_by reads back what it goes by. The desk's indices and hands are files of their own.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -5,10 +5,14 @@
 //! front. It does no I/O and decides nothing: a host hands it the time and what happened, by plain calls.
 //! All times are milliseconds with fractions, all on the host's one clock.
 
+mod hands;
+mod indices;
+
+pub use hands::{Hands, Wish};
+use indices::{Indices, Titles};
 use pulleystair::logic::Front;
-use pulleystair::{CallSheet, Figure, Listing, Next, Outcome, Place, Play, Steps};
-use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::hash::Hash;
+use pulleystair::{CallSheet, Figure, Given, Listing, Next, Outcome, Place, Play, Steps};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// The timer that reminds a front to ask for its list; all others are slots of plays.
 const FOLLOW: u32 = u32::MAX;
@@ -18,92 +22,6 @@
 const AT_ONCE: f64 = 32.0;
 const EACH_MS: f64 = 1.0;
 
-/// What a host does for a desk. Each call is made while the host's own call into the desk runs.
-pub trait Hands {
-    /// Set the play up at this server and rung; an answer later than `time_out` ms is [`Outcome::TimedOut`].
-    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64);
-    /// The viewer has left: give up the allocation that is out, or end what plays.
-    fn withdraw(&mut self, play: u64);
-    /// The play now has this rung.
-    fn step(&mut self, play: u64, rung: usize);
-    fn probe(&mut self, server: u32);
-    /// The final answer: never, and nothing of it ran; best not to come back within `pause` ms.
-    fn declined(&mut self, play: u64, pause: f64);
-    /// The final answer: never, and an allocation may have run.
-    fn failed(&mut self, play: u64);
-    /// Ring with this mark once `wait` ms have passed. A timer is never taken back: stale ones do no harm.
-    fn wake(&mut self, mark: u32, wait: f64);
-    /// Ask for changes of the list.
-    fn follow(&mut self);
-}
-
-/// What a viewer asks for.
-#[derive(Clone, Copy, Debug)]
-pub struct Wish {
-    pub product: usize,
-    /// The title by the host's own id.
-    pub title: u64,
-    /// The title's holders are `holders` cells in a row from `first_cell`.
-    pub first_cell: usize,
-    pub holders: usize,
-    /// Highest rung that the viewer can use.
-    pub top: usize,
-    /// When the viewer asked, which may be before the play was taken in hand.
-    pub came: f64,
-    /// The clock time at which the viewer gives up on a set-up.
-    pub limit: f64,
-}
-
-/// Small indices for a host's ids, in order of first sight; one that is given back is the next new id's.
-#[derive(Default)]
-struct Indices<K> {
-    by_id: HashMap<K, usize>,
-    ids: Vec<K>,
-    free: Vec<usize>,
-}
-
-impl<K: Copy + Eq + Hash> Indices<K> {
-    fn of(&mut self, id: K) -> usize {
-        *self.by_id.entry(id).or_insert_with(|| {
-            let index = self.free.pop().unwrap_or(self.ids.len());
-            if index == self.ids.len() {
-                self.ids.push(id);
-            }
-            self.ids[index] = id;
-            index
-        })
-    }
-
-    fn give_back(&mut self, index: usize) {
-        self.by_id.remove(&self.ids[index]);
-        self.free.push(index);
-    }
-}
-
-/// Indices for titles with plays in hand; one that has none any more gives its index back.
-#[derive(Default)]
-struct Titles {
-    indices: Indices<u64>,
-    /// For each index: how many plays of the title are in hand.
-    held: Vec<usize>,
-}
-
-impl Titles {
-    fn take(&mut self, id: u64) -> usize {
-        let index = self.indices.of(id);
-        self.held.resize(self.indices.ids.len(), 0);
-        self.held[index] += 1;
-        index
-    }
-
-    fn give_back(&mut self, index: usize) {
-        self.held[index] -= 1;
-        if self.held[index] == 0 {
-            self.indices.give_back(index);
-        }
-    }
-}
-
 pub struct Desk {
     front: Front,
     plays: Vec<Play>,
@@ -173,6 +91,41 @@
         self.told = true;
     }
 
+    /// What other fronts let this one know of servers. A given's own index is not read.
+    pub fn given(&mut self, now: f64, given: &[(u32, Given)]) {
+        for (id, it) in given {
+            let server = self.servers.of(*id);
+            self.front.given(now, &Given { server, ..*it });
+            self.told = true;
+        }
+    }
+
+    /// All that the decisions go by now.
+    pub fn goes_by(&self) -> CallSheet {
+        self.front.goes_by()
+    }
+
+    pub fn go_by(&mut self, name: &str, value: f64) {
+        self.front.go_by(name, value);
+        self.told = true;
+    }
+
+    /// Servers that plays wait for a turn at.
+    pub fn waited_for(&self) -> BTreeSet<u32> {
+        self.waiting.iter().filter_map(|ply| Some(self.servers.ids[self.plays[*ply].waits?])).collect()
+    }
+
+    /// Set-ups out and plays that run, by server and product.
+    pub fn counts(&self) -> BTreeMap<(u32, usize), (u32, u32)> {
+        let mut out: BTreeMap<(u32, usize), (u32, u32)> = BTreeMap::new();
+        for play in self.by_id.values().map(|ply| &self.plays[*ply]) {
+            let Some(server) = play.server else { continue };
+            let count = out.entry((self.servers.ids[server], play.product)).or_default();
+            if play.playing { count.1 += 1 } else { count.0 += 1 }
+        }
+        out
+    }
+
     /// A server is listed as gone and its id will not come again: what is known of it is given back, unless a play in hand
     /// still goes by it. True once nothing is left.
     pub fn forget_server(&mut self, id: u32) -> bool {
@@ -350,7 +303,10 @@
         let (place, steps) = self.front.place(now, &mut self.plays, ply);
         self.steps(now, &steps, hands);
         match place {
-            Place::Send { server, rung, time_out } => {
+            Place::Send { server, rung, time_out, odds } => {
+                let odds: Vec<_> =
+                    odds.iter().map(|o| (self.servers.ids[o.server], o.chance, o.room)).collect();
+                hands.chose(id, &odds);
                 hands.send(id, self.servers.ids[server], rung, time_out);
             }
             Place::Stays { rung } if rung != was => hands.step(id, rung),
--- /dev/null
+++ b/crates/drift/src/approved.rs
@@ -0,0 +1,184 @@
+//! Approved versions, as an append-only file: a line a document, each naming its parent by digest.
+//!
+//! A line is `{"number", "parent", "sections", "stages", "by", "at_ms", "digest"}`; the digest is SHA-256 over the canonical
+//! form (RFC 8785) of all the rest, so that a line that was changed, or put in between, is found.
+
+use crate::{Sections, digest, hex, short};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Documents that a file may hold, and fronts that a stage may name.
+const MOST: usize = 10_000;
+const FRONTS: usize = 100_000;
+
+/// Some fronts, from when they may have a version, and by when they must; Unix ms.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stage {
+    /// By name; all that no earlier stage names where empty.
+    #[serde(default)]
+    pub fronts: Vec<String>,
+    pub from_ms: f64,
+    pub by_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    pub number: u64,
+    /// The digest of the version before; none of the first.
+    pub parent: Option<String>,
+    pub sections: Sections,
+    pub stages: Vec<Stage>,
+    pub by: String,
+    pub at_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {cause}")]
+pub struct Fault {
+    pub line: usize,
+    pub cause: String,
+}
+
+/// All versions, from the first on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Chain {
+    pub documents: Vec<Document>,
+    digests: Vec<String>,
+}
+
+impl Document {
+    pub fn digest(&self) -> String {
+        hex(&digest(&serde_json::to_value(self).unwrap_or(Value::Null)))
+    }
+
+    /// Its line in the file.
+    pub fn line(&self) -> String {
+        let mut it = serde_json::to_value(self).unwrap_or(Value::Null);
+        it["digest"] = Value::String(self.digest());
+        format!("{it}\n")
+    }
+
+    /// From when a front may have it, and by when it must.
+    pub fn stage(&self, front: &str) -> Option<(f64, f64)> {
+        let named = self.stages.iter().find(|s| s.fronts.iter().any(|f| f == front));
+        let stage = named.or_else(|| self.stages.iter().find(|s| s.fronts.is_empty()))?;
+        Some((stage.from_ms, stage.by_ms))
+    }
+
+    fn check(&self, parent: Option<(&Document, &str)>) -> Result<(), String> {
+        match (parent, &self.parent) {
+            (None, None) => {}
+            (None, Some(parent)) => return Err(format!("parent: {parent} is not in the file")),
+            (Some(_), None) => return Err("parent: missing, and this is not the first version".into()),
+            (Some((_, digest)), Some(parent)) if digest != parent => {
+                return Err(format!(
+                    "parent: {parent}, but the line before has {digest}: the chain is broken"
+                ));
+            }
+            (Some(_), Some(_)) => {}
+        }
+        let next = parent.map_or(1, |(p, _)| p.number.saturating_add(1));
+        if self.number != next {
+            return Err(format!("number: {}; {next} comes next", self.number));
+        }
+        if !self.at_ms.is_finite() || parent.is_some_and(|(p, _)| self.at_ms < p.at_ms) {
+            return Err(format!("at_ms: {} lies before the version before it", self.at_ms));
+        }
+        if self.by.trim().is_empty() {
+            return Err("by: nobody approved it".into());
+        }
+        if self.stages.is_empty() || self.stages.iter().map(|s| s.fronts.len()).sum::<usize>() > FRONTS {
+            return Err(format!("stages: {}; 1 at least, of {FRONTS} fronts at most", self.stages.len()));
+        }
+        for (i, stage) in self.stages.iter().enumerate() {
+            let sound = stage.from_ms.is_finite() && stage.by_ms.is_finite();
+            if !sound || stage.from_ms < self.at_ms {
+                let from = stage.from_ms;
+                return Err(format!("stages[{i}].from_ms: {from} lies in the past of its approval"));
+            }
+            if stage.by_ms < stage.from_ms {
+                return Err(format!("stages[{i}].by_ms: {} lies before from_ms", stage.by_ms));
+            }
+        }
+        let unknown = self.sections.keys().find(|name| !crate::SECTIONS.contains(&name.as_str()));
+        unknown.map_or(Ok(()), |name| Err(format!("sections.{name}: there is no such section")))
+    }
+}
+
+impl Chain {
+    /// Reads the whole file, checks the chain from its first line on.
+    pub fn read(text: &str) -> Result<Chain, Fault> {
+        let mut chain = Chain::default();
+        for (i, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+            let fault = |cause: String| Fault { line: i + 1, cause };
+            if chain.documents.len() >= MOST {
+                return Err(fault(format!("more than {MOST} versions")));
+            }
+            let mut it: Value = serde_json::from_str(line).map_err(|e| fault(e.to_string()))?;
+            let told = it.as_object_mut().and_then(|it| it.remove("digest"));
+            let document: Document = serde_json::from_value(it).map_err(|e| fault(e.to_string()))?;
+            let own = document.digest();
+            if told.as_ref().and_then(Value::as_str) != Some(&own) {
+                return Err(fault(format!("digest: the line's content has {own}")));
+            }
+            chain.append(document).map_err(fault)?;
+        }
+        if chain.documents.is_empty() {
+            return Err(Fault { line: 1, cause: "no version is approved".into() });
+        }
+        Ok(chain)
+    }
+
+    pub fn append(&mut self, document: Document) -> Result<(), String> {
+        let parent = self.documents.last().zip(self.digests.last().map(String::as_str));
+        document.check(parent)?;
+        self.digests.push(document.digest());
+        self.documents.push(document);
+        Ok(())
+    }
+
+    /// Whether `other` says the same as far as this goes, so that this may be replaced by it.
+    pub fn goes_on_in(&self, other: &Chain) -> bool {
+        other.digests.starts_with(&self.digests)
+    }
+
+    pub fn head(&self) -> Option<&Document> {
+        self.documents.last()
+    }
+
+    /// The latest version's number, and the start of its digest.
+    pub fn head_mark(&self) -> Option<(u64, u64)> {
+        let digest = self.digests.last()?;
+        Some((self.head()?.number, u64::from_str_radix(digest.get(..16)?, 16).ok()?))
+    }
+
+    /// A version by its mark: true where this chain has it.
+    pub fn has(&self, mark: (u64, u64)) -> bool {
+        let at = usize::try_from(mark.0).ok().and_then(|n| self.digests.get(n.checked_sub(1)?));
+        at.and_then(|d| u64::from_str_radix(d.get(..16)?, 16).ok()) == Some(mark.1)
+    }
+
+    /// The latest version that a front may have by then, and the latest that it must have.
+    pub fn window(&self, front: &str, wall: f64) -> (Option<usize>, Option<usize>) {
+        let latest = |due: fn((f64, f64)) -> f64| {
+            self.documents.iter().rposition(|d| d.stage(front).is_some_and(|stage| due(stage) <= wall))
+        };
+        (latest(|stage| stage.0), latest(|stage| stage.1))
+    }
+
+    /// The digest of a section in a version, as it goes round; a section that it leaves out is as in the one before.
+    pub fn section(&self, at: usize, name: &str) -> Option<u64> {
+        self.documents[..=at].iter().rev().find_map(|d| d.sections.get(name)).map(short)
+    }
+
+    /// All sections of a version.
+    pub fn sections(&self, at: usize) -> Sections {
+        let mut out = Sections::new();
+        for document in &self.documents[..=at.min(self.documents.len() - 1)] {
+            out.extend(document.sections.clone());
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/message.rs
@@ -0,0 +1,125 @@
+//! What goes between two fronts: one datagram, checked whole before anything of it is taken.
+//!
+//! `GOSSIP_VERSION`, the fleet's name as a checksum, a checksum of all that follows, then postcard.
+
+use serde::{Deserialize, Serialize};
+
+/// A datagram's size at most, bytes: what a path of 1,280 carries with IPv6 and UDP heads.
+pub const MOST: usize = 1_200;
+/// The form of what goes round; another is passed over.
+pub const VERSION: u8 = 1;
+/// Version, fleet and checksum before the message.
+const HEAD: usize = 9;
+/// No row is older, ms: a week. What claims to be is impossible.
+const OLDEST: u32 = 7 * 86_400_000;
+
+/// A front by the checksum of its name.
+pub type Origin = u32;
+
+/// Why a datagram was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    #[error("longer than 1,200 bytes")]
+    Long,
+    #[error("of another version of the exchange")]
+    Version,
+    #[error("of another fleet")]
+    Foreign,
+    #[error("spoilt")]
+    Spoilt,
+    #[error("an age that can't be")]
+    Age,
+}
+
+/// How far a front knows a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    pub origin: Origin,
+    pub incarnation: u64,
+    pub version: u64,
+    /// The row was its origin's own no longer ago than this, ms; none where nobody can say.
+    pub age: Option<u32>,
+    /// Checksum of all its cells, where they are known whole.
+    pub sum: Option<u32>,
+}
+
+/// A value of a row, and the row's version that brought it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    pub key: u16,
+    pub version: u64,
+    pub value: Vec<u8>,
+}
+
+/// All that changed in a row after `from`, up to `known.version`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    pub known: Known,
+    pub from: u64,
+    pub cells: Vec<Cell>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    pub from: Origin,
+    pub nonce: u32,
+    /// The nonce that this answers: what tells the reader how old it may be at most.
+    pub echo: Option<u32>,
+    /// An answer to this is wanted.
+    pub asks: bool,
+    pub known: Vec<Known>,
+    pub changes: Vec<Change>,
+}
+
+impl Message {
+    pub fn write(&self, fleet: u32) -> Vec<u8> {
+        let body = postcard::to_stdvec(self).unwrap_or_default();
+        let mut out = Vec::with_capacity(HEAD + body.len());
+        out.push(VERSION);
+        out.extend_from_slice(&fleet.to_be_bytes());
+        out.extend_from_slice(&crc32c::crc32c(&body).to_be_bytes());
+        out.extend_from_slice(&body);
+        out
+    }
+
+    pub fn read(bytes: &[u8], fleet: u32) -> Result<Message, Fault> {
+        if bytes.len() > MOST {
+            return Err(Fault::Long);
+        }
+        let word = |at: usize| bytes.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_be_bytes);
+        let (Some(version), Some(of), Some(sum)) = (bytes.first(), word(1), word(5)) else {
+            return Err(Fault::Spoilt);
+        };
+        if *version != VERSION {
+            return Err(Fault::Version);
+        }
+        if of != fleet {
+            return Err(Fault::Foreign);
+        }
+        let body = &bytes[HEAD..];
+        if crc32c::crc32c(body) != sum {
+            return Err(Fault::Spoilt);
+        }
+        let (it, rest): (Message, _) = postcard::take_from_bytes(body).map_err(|_| Fault::Spoilt)?;
+        let ages = it.known.iter().chain(it.changes.iter().map(|c| &c.known)).filter_map(|k| k.age);
+        if ages.max().is_some_and(|age| age > OLDEST) {
+            return Err(Fault::Age);
+        }
+        if !rest.is_empty() || it.changes.iter().any(|c| !c.is_sound()) {
+            return Err(Fault::Spoilt);
+        }
+        Ok(it)
+    }
+
+    pub fn size(&self) -> usize {
+        HEAD + postcard::experimental::serialized_size(self).unwrap_or(MOST)
+    }
+}
+
+impl Change {
+    /// Its cells' versions lie where it says.
+    fn is_sound(&self) -> bool {
+        let within = |c: &Cell| self.from < c.version && c.version <= self.known.version;
+        self.from <= self.known.version && self.cells.iter().all(within)
+    }
+}
--- /dev/null
+++ b/crates/whatif/src/sums.rs
@@ -0,0 +1,238 @@
+//! Sums that say all that the estimates need, add up over fronts, and go round in cells.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Policy {
+    AsDrawn,
+    /// Always the roomiest.
+    Roomiest,
+    /// Each alike.
+    Uniform,
+    /// As drawn, among those of the front's own zone.
+    OwnZone,
+    /// By room, without the half that the roomiest gets outright.
+    Weighted,
+}
+
+pub const POLICIES: [Policy; 5] =
+    [Policy::AsDrawn, Policy::Roomiest, Policy::Uniform, Policy::OwnZone, Policy::Weighted];
+
+/// A bucket of time, a class of titles and, where there is room for it, the title by its checksum (0 for the rest).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    pub bucket: u64,
+    pub product: u16,
+    pub title: u32,
+}
+
+/// Weighted sums of times, from which a mean and its error come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Weighed {
+    pub w: f64,
+    pub w2: f64,
+    pub wy: f64,
+    pub w2y: f64,
+    pub w2yy: f64,
+}
+
+impl Weighed {
+    fn saw(&mut self, y: f64, w: f64) {
+        self.w += w;
+        self.w2 += w * w;
+        self.wy += w * y;
+        self.w2y += w * w * y;
+        self.w2yy += w * w * y * y;
+    }
+
+    fn add(&mut self, o: &Weighed) {
+        self.w += o.w;
+        self.w2 += o.w2;
+        self.wy += o.wy;
+        self.w2y += o.w2y;
+        self.w2yy += o.w2yy;
+    }
+
+    /// The mean, weights normalised by their sum, and its standard error.
+    pub fn mean(&self) -> Option<(f64, f64)> {
+        if self.w <= 0.0 {
+            return None;
+        }
+        let mean = self.wy / self.w;
+        let spread = self.w2yy - 2.0 * mean * self.w2y + mean * mean * self.w2;
+        Some((mean, spread.max(0.0).sqrt() / self.w))
+    }
+
+    /// As many evenly weighted ones would say as much.
+    pub fn effective(&self) -> f64 {
+        if self.w2 > 0.0 { self.w * self.w / self.w2 } else { 0.0 }
+    }
+
+    fn sound(&self) -> bool {
+        let all = [self.w, self.w2, self.wy, self.w2y, self.w2yy];
+        all.iter().all(|x| x.is_finite() && *x >= 0.0)
+    }
+}
+
+/// Plain sums of one figure a play.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Plain {
+    pub sum: f64,
+    pub squares: f64,
+}
+
+impl Plain {
+    fn saw(&mut self, y: f64) {
+        self.sum += y;
+        self.squares += y * y;
+    }
+
+    fn add(&mut self, o: &Plain) {
+        self.sum += o.sum;
+        self.squares += o.squares;
+    }
+
+    pub fn mean(&self, n: f64) -> Option<(f64, f64)> {
+        if n < 2.0 {
+            return None;
+        }
+        let mean = self.sum / n;
+        let spread = ((self.squares - n * mean * mean) / (n - 1.0)).max(0.0);
+        Some((mean, (spread / n).sqrt()))
+    }
+
+    fn sound(&self) -> bool {
+        self.sum.is_finite() && self.squares.is_finite() && self.squares >= 0.0
+    }
+}
+
+/// One policy's sums: by inverse chances, direct, doubly robust, and the last less what was.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PolicySums {
+    pub inverse: Weighed,
+    pub direct: Plain,
+    pub robust: Plain,
+    pub gain: Plain,
+}
+
+impl PolicySums {
+    pub(crate) fn saw(&mut self, took: f64, weight: f64, direct: f64, robust: f64) {
+        self.inverse.saw(took, weight);
+        self.direct.saw(direct);
+        self.robust.saw(robust);
+        self.gain.saw(robust - took);
+    }
+
+    fn add(&mut self, o: &PolicySums) {
+        self.inverse.add(&o.inverse);
+        self.direct.add(&o.direct);
+        self.robust.add(&o.robust);
+        self.gain.add(&o.gain);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Stratum {
+    pub n: u32,
+    pub given_up: u32,
+    pub took: Plain,
+    pub policies: [PolicySums; 5],
+}
+
+impl Stratum {
+    pub(crate) fn saw(&mut self, took: f64, given_up: bool) {
+        self.n += 1;
+        self.given_up += u32::from(given_up);
+        self.took.saw(took);
+    }
+
+    pub(crate) fn add(&mut self, o: &Stratum) {
+        self.n = self.n.saturating_add(o.n);
+        self.given_up = self.given_up.saturating_add(o.given_up);
+        self.took.add(&o.took);
+        for (mine, theirs) in self.policies.iter_mut().zip(&o.policies) {
+            mine.add(theirs);
+        }
+    }
+
+    /// Sums that can't be are none.
+    fn sound(&self) -> bool {
+        let part =
+            |p: &PolicySums| p.inverse.sound() && p.direct.sound() && p.robust.sound() && p.gain.sound();
+        self.given_up <= self.n && self.took.sound() && self.policies.iter().all(part)
+    }
+}
+
+/// One server's set-ups, weighed by inverse chances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServerSums {
+    pub n: u32,
+    pub given_up: u32,
+    pub times: Weighed,
+}
+
+impl ServerSums {
+    pub(crate) fn saw(&mut self, took: f64, weight: f64, given_up: bool) {
+        self.n += 1;
+        self.given_up += u32::from(given_up);
+        self.times.saw(took, weight);
+    }
+
+    pub(crate) fn add(&mut self, o: &ServerSums) {
+        self.n = self.n.saturating_add(o.n);
+        self.given_up = self.given_up.saturating_add(o.given_up);
+        self.times.add(&o.times);
+    }
+}
+
+/// A cell holds one stratum, or some servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Cell {
+    Stratum(Key, Box<Stratum>),
+    Servers(Vec<(u64, u64, ServerSums)>),
+}
+
+/// Servers in a cell: a row of one is up to 65 bytes.
+const EACH: usize = 14;
+
+pub(crate) fn cells(
+    strata: &BTreeMap<Key, Stratum>,
+    servers: &BTreeMap<(u64, u64), ServerSums>,
+) -> Vec<Vec<u8>> {
+    let servers: Vec<(u64, u64, ServerSums)> = servers.iter().map(|(id, s)| (id.0, id.1, *s)).collect();
+    let strata = strata.iter().map(|(key, it)| Cell::Stratum(*key, Box::new(*it)));
+    let servers = servers.chunks(EACH).map(|part| Cell::Servers(part.to_vec()));
+    strata.chain(servers).filter_map(|cell| postcard::to_stdvec(&cell).ok()).collect()
+}
+
+/// The sums of one front or of several, each front's added once.
+#[derive(Clone, Debug, Default)]
+pub struct Sums {
+    pub strata: BTreeMap<Key, Stratum>,
+    pub servers: BTreeMap<(u64, u64), ServerSums>,
+}
+
+impl Sums {
+    /// Adds one front's cells; those that don't read, or can't be, are left out, with their count.
+    pub fn add<'a>(&mut self, cells: impl IntoIterator<Item = &'a [u8]>) -> usize {
+        let mut bad = 0;
+        for cell in cells {
+            match postcard::from_bytes(cell) {
+                Ok(Cell::Stratum(key, it)) if it.sound() => self.strata.entry(key).or_default().add(&it),
+                Ok(Cell::Servers(servers)) if servers.iter().all(|s| s.2.times.sound()) => {
+                    servers.iter().for_each(|s| self.servers.entry((s.0, s.1)).or_default().add(&s.2));
+                }
+                _ => bad += 1,
+            }
+        }
+        bad
+    }
+
+    /// All strata of a class, or of all, in one.
+    pub fn whole(&self, of: impl Fn(&Key) -> bool) -> Stratum {
+        let mut out = Stratum::default();
+        self.strata.iter().filter(|(key, _)| of(key)).for_each(|(_, it)| out.add(it));
+        out
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,27 @@
 /// Changes of rung: plays and the rung that each now has.
 pub type Steps = Vec<(usize, usize)>;
 
+/// A holder that could have been drawn: its chance, and the room that it was weighed by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Odd {
+    pub server: usize,
+    pub chance: f64,
+    pub room: f64,
+}
+
+/// What is known of a server by other fronts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Given {
+    pub server: usize,
+    /// Doubted on hearsay.
+    pub doubted: bool,
+    /// This front's part of its pace over its unaided part; 1 where nothing is lent.
+    pub pace: f64,
+    /// Further allocations and probes go there no closer than this, ms.
+    pub further_gap: f64,
+    pub probe_gap: f64,
+}
+
 /// Where a play goes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Place {
@@ -68,6 +89,7 @@
         server: usize,
         rung: usize,
         time_out: f64,
+        odds: Vec<Odd>,
     },
     /// It is to be asked about again once `wait` has passed, and after a turn in which the decisions were told
     /// a fact, which may have taken its last hope; meanwhile these servers are to be probed.
--- /dev/null
+++ b/src/logic/mod.rs
@@ -0,0 +1,181 @@
+//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts as they
+//! come (`list`, `given`, `take`, `adopt`, `figure`, `left`, ...), and asks three things of it: `place` (where
+//! to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
+//! it is to be asked about again). `placing` has a play's ordinary path, `facts` what is told and what follows,
+//! `room` links and what they carry, `pace` turns at cold and doubted servers, `rungs` the steps of quality.
+
+mod facts;
+mod pace;
+mod placing;
+mod room;
+mod rungs;
+
+use crate::{CallSheet, Value, number};
+use room::{Pipe, Server, meeting};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Quiet spell before a step up, and the random addition to it, ms.
+const QUIET: f64 = 5_000.0;
+const JITTER: f64 = 5_000.0;
+
+/// How long a front recalls which servers its plays asked for, ms.
+const MEMORY: f64 = 60_000.0;
+
+struct Product {
+    importance: f64,
+    target: f64,
+    effect: String,
+    group: String,
+    repeat_window: f64,
+    floor: usize,
+    top: usize,
+    scale: f64,
+    live: bool,
+    seats: usize,
+}
+
+pub struct Front {
+    sheet: CallSheet,
+    rnd: oorandom::Rand64,
+    fronts: f64,
+    rank: f64,
+    ladder: Vec<f64>,
+    earns: Vec<f64>,
+    products: Vec<Product>,
+    /// The part of its rate that a further viewer adds to a live stream.
+    shared: f64,
+    servers: Vec<Server>,
+    /// The listed servers of each cell, and the uplink of each rack.
+    cells: Vec<Vec<usize>>,
+    racks: Vec<Pipe>,
+    /// Running mean of the links' shares heard, which stands in for servers that are not measured.
+    mean: f64,
+    fleet: f64,
+    /// What this front set up of late, kB, and how many plays wanted a server; both fade over RECENT.
+    recent: (f64, f64),
+    wanted: f64,
+    seats: BTreeMap<(usize, usize), usize>,
+    taken: VecDeque<f64>,
+    further: VecDeque<f64>,
+    /// When a cached list made all servers count as cold.
+    cached: f64,
+}
+
+fn text(sheet: &CallSheet, name: &str) -> String {
+    if let Some(Value::Text(t)) = sheet.get(name) { t.clone() } else { String::new() }
+}
+
+fn row(sheet: &CallSheet, name: &str) -> Vec<f64> {
+    let given = (0..).take_while(|i| sheet.contains_key(&format!("{name}.{i}")));
+    given.map(|i| number(sheet, &format!("{name}.{i}"), 0.0)).collect()
+}
+
+impl Front {
+    pub fn new(sheet: CallSheet, seed: u64) -> Front {
+        let mut ladder = row(&sheet, "extra.ladder_kb");
+        let mut earns = row(&sheet, "extra.rung_worth");
+        ladder.resize(ladder.len().max(1), 0.0);
+        earns.resize(ladder.len(), 0.0);
+        let product = |i: usize| {
+            let of = |part: &str, other: f64| number(&sheet, &format!("products.{i}.{part}"), other);
+            let extra = |part: &str, other: f64| number(&sheet, &format!("extra.{part}.{i}"), other);
+            Product {
+                importance: of("importance", 1.0),
+                target: of("first_frame_target", 1000.0),
+                effect: text(&sheet, &format!("products.{i}.effect")),
+                group: text(&sheet, &format!("products.{i}.key_scope")),
+                repeat_window: of("repeat_window", 0.0),
+                floor: (extra("class_floor", 0.0) as usize).min(ladder.len() - 1),
+                top: extra("top_by_class", 99.0) as usize,
+                scale: extra("class_scale", 1.0),
+                live: extra("class_live", 0.0) > 0.0,
+                seats: extra("seats", 0.0) as usize,
+            }
+        };
+        let count = (0..).take_while(|i| sheet.contains_key(&format!("products.{i}.importance"))).count();
+        let products = (0..count).map(product).collect();
+        let racks = number(&sheet, "extra.cabinets", 1.0).clamp(1.0, 65_536.0) as usize;
+        // A rack's share of all uplinks goes by its part of the cells.
+        let (mean, cells) = (number(&sheet, "extra.rack_link_kb", 1.0), number(&sheet, "extra.places", 1.0));
+        let fronts = number(&sheet, "balancers", 1.0).max(1.0);
+        let rack = |r: usize| {
+            let own = ((cells - r as f64) / racks as f64).ceil();
+            let size = (mean * racks as f64 * own / cells).max(1.0);
+            Pipe { size, fronts: meeting(fronts, &ladder, size), ..Pipe::default() }
+        };
+        Front {
+            racks: (0..racks).map(rack).collect(),
+            rnd: oorandom::Rand64::new(seed.into()),
+            fronts,
+            rank: number(&sheet, "rank", 0.0),
+            earns,
+            ladder,
+            products,
+            shared: number(&sheet, "extra.join", 1.0),
+            servers: Vec::new(),
+            cells: vec![Vec::new(); cells.clamp(1.0, 65_536.0) as usize],
+            mean: 0.5,
+            recent: (0.0, 0.0),
+            wanted: 0.0,
+            fleet: number(&sheet, "extra.fleet_kb", 1.0).max(1.0),
+            seats: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            cached: -1.0,
+            sheet,
+        }
+    }
+
+    /// All that it goes by now, under the call sheet's names.
+    pub fn goes_by(&self) -> CallSheet {
+        let mut it = self.sheet.clone();
+        let mut put = |name: String, x: f64| it.insert(name, Value::Number(x));
+        for (i, (kb, earns)) in self.ladder.iter().zip(&self.earns).enumerate() {
+            put(format!("extra.ladder_kb.{i}"), *kb);
+            put(format!("extra.rung_worth.{i}"), *earns);
+        }
+        for (i, p) in self.products.iter().enumerate() {
+            put(format!("products.{i}.importance"), p.importance);
+            put(format!("products.{i}.first_frame_target"), p.target);
+            put(format!("products.{i}.repeat_window"), p.repeat_window);
+            put(format!("extra.class_floor.{i}"), p.floor as f64);
+            put(format!("extra.class_scale.{i}"), p.scale);
+            put(format!("extra.seats.{i}"), p.seats as f64);
+        }
+        it
+    }
+
+    /// Goes by another figure from now on: a rule's, or a product's floor.
+    pub fn go_by(&mut self, name: &str, value: f64) {
+        let of = name.strip_prefix("extra.class_floor.").and_then(|i| i.parse::<usize>().ok());
+        if let Some(product) = of.and_then(|i| self.products.get_mut(i)) {
+            product.floor = (value.max(0.0) as usize).min(self.ladder.len() - 1);
+        }
+        self.sheet.insert(name.to_string(), Value::Number(value));
+    }
+
+    /// Whether the call sheet names this product.
+    pub fn sells(&self, product: usize) -> bool {
+        product < self.products.len()
+    }
+
+    /// When to ask discovery for changes, where it must be asked: now, or after a pause if a call has failed.
+    pub fn follow(&self, failed: bool) -> Option<f64> {
+        let asked = text(&self.sheet, "discovery") == "subscribe";
+        asked.then_some(if failed { 1000.0 } else { 0.0 })
+    }
+
+    fn spell(&mut self) -> f64 {
+        QUIET + JITTER * self.rnd.rand_float()
+    }
+
+    fn know(&mut self, s: usize) {
+        if s >= self.servers.len() {
+            self.servers.resize_with(s + 1, Server::default);
+        }
+    }
+
+    fn rule(&self, name: &str, otherwise: f64) -> f64 {
+        number(&self.sheet, name, otherwise)
+    }
+}
