--- a/crates/gossip/tests/exchange.rs
+++ b/crates/gossip/tests/exchange.rs
@@ -108,6 +108,46 @@
     assert!(net.fronts[1].incarnation() > 1_000 && net.fronts[1].counts.claimed > 0);
 }
 
+/// A row of many datagrams comes in parts; until it is whole it vouches for nothing.
+#[test]
+fn a_row_that_has_come_in_part_is_not_current() {
+    let mut net = Network::new(2, 12, BAD);
+    let mut parts = 0;
+    for part in 0..40 {
+        net.fronts[1].put(part, vec![part as u8; 900]);
+    }
+    net.run(6_000.0, |net| {
+        let row = net.fronts[0].front(net.now, origin_of(&name(1))).expect("it is a peer");
+        let come = row.cells(0..40).count();
+        parts += usize::from(0 < come && come < 40);
+        assert!(row.age.is_infinite() || come == 40, "{come} cells, {} old", row.age);
+    });
+    assert!(
+        parts > 0 && net.fronts[0].front(net.now, origin_of(&name(1))).is_some_and(|row| row.age < 2_000.0)
+    );
+}
+
+/// An answer that leaves a part out is not taken: what it brings would stand in for what it lacks.
+#[test]
+fn a_change_with_a_gap_before_it_is_not_taken() {
+    let mut net = Network::new(2, 13, Faults::default());
+    net.fronts[1].put(1, b"one".to_vec());
+    net.run(3_000.0, |_| {});
+    net.fronts[1].put(2, b"two".to_vec());
+    let now = net.fronts[0].due();
+    let asked = net.fronts[0].round(now).remove(0);
+    let fleet = u32::from_be_bytes([asked.bytes[1], asked.bytes[2], asked.bytes[3], asked.bytes[4]]);
+    let answer = net.fronts[1].came(now, &asked.bytes).remove(0);
+    let mut it = Message::read(&answer.bytes, fleet).expect("it reads");
+    let change = &mut it.changes[0];
+    change.from += 5;
+    change.known.version += 5;
+    change.cells[0].version += 5;
+    net.fronts[0].came(now, &it.write(fleet));
+    let row = net.fronts[0].front(now, origin_of(&name(1))).expect("it is a peer");
+    assert_eq!((row.cell(2), net.fronts[0].counts.gaps), (None, 1));
+}
+
 /// Two processes go by one name, with one incarnation.
 #[test]
 fn two_rows_of_one_incarnation_are_told_apart() {
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -83,9 +83,9 @@
 
 impl Purse {
     /// For each borrower, the largest lease that it may still count.
-    fn lent(&self) -> u32 {
+    fn lent(&self, now: f64) -> u32 {
         let mut by: BTreeMap<(u32, u64), u32> = BTreeMap::new();
-        for lease in &self.lent {
+        for lease in self.lent.iter().filter(|l| now < l.until) {
             let most = by.entry((lease.to, lease.incarnation)).or_default();
             *most = (*most).max(lease.parts);
         }
@@ -145,31 +145,35 @@
     pub fn parts(&self, now: f64, of: Of) -> u32 {
         let own = if now < self.unsure { KEPT } else { OWN };
         let Some(purse) = self.purses.get(&of) else { return own };
-        let lent: u32 = {
-            let mut by: BTreeMap<(u32, u64), u32> = BTreeMap::new();
-            for lease in purse.lent.iter().filter(|l| now < l.until) {
-                let most = by.entry((lease.to, lease.incarnation)).or_default();
-                *most = (*most).max(lease.parts);
-            }
-            by.values().sum()
-        };
+        let lent = purse.lent(now);
         let held: u32 = purse.held.values().filter(|h| now < h.2).map(|h| h.1).sum();
         let parts = own.saturating_sub(lent) + held;
         assert!(lent <= OWN - KEPT && parts <= self.whole(), "{lent} lent, {parts} held of {}", self.whole());
         parts
     }
 
-    /// Budgets in which something is lent, held or needed.
-    pub fn known(&self) -> impl Iterator<Item = Of> + '_ {
-        self.purses.keys().copied()
+    /// When a loan next ends, on either side, or this front next knows all that it lent.
+    pub fn next_end(&self) -> f64 {
+        let ends = self
+            .purses
+            .values()
+            .flat_map(|p| p.lent.iter().map(|l| l.until).chain(p.held.values().map(|h| h.2)));
+        ends.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Forgets loans that have ended.
+    pub fn expire(&mut self, now: f64) {
+        for purse in self.purses.values_mut() {
+            purse.lent.retain(|l| now < l.until);
+            purse.held.retain(|_, h| now < h.2);
+        }
     }
 
     /// Goes by what others say: counts grants, and lends what it does not need itself.
     pub fn read(&mut self, now: f64, heard: &[Heard]) {
         let (span, me) = (self.span, (self.origin, self.incarnation));
+        self.expire(now);
         for purse in self.purses.values_mut() {
-            purse.lent.retain(|l| now < l.until);
-            purse.held.retain(|_, h| now < h.2);
             purse.asked.retain(|a| now < a.1 + span);
             let lately = |at: &Option<f64>| at.is_some_and(|at| now < at + span);
             purse.used = purse.used.filter(|at| lately(&Some(*at)));
@@ -215,7 +219,7 @@
                     continue;
                 }
                 let before = purse.lent.iter().filter(|l| known(l)).map(|l| l.parts).max().unwrap_or(0);
-                let left = (OWN - KEPT).saturating_sub(purse.lent());
+                let left = (OWN - KEPT).saturating_sub(purse.lent(now));
                 let parts = before + left.div_ceil(2);
                 if parts > 0 {
                     let (to, incarnation) = (peer.origin, peer.incarnation);
