--- /dev/null
+++ b/crates/edge/src/company.rs
@@ -0,0 +1,353 @@
+//! The company of other fronts: this front's fellow, its socket, and what they are told of and tell. All that is decided
+//! is decided by the fellow's packages and the module; without peers in the rundown none of it is there.
+
+use crate::edge::Edge;
+use crate::floor::{Clock, Floor};
+use crate::listing::{List, State, Watched};
+use crate::rundown::Rundown;
+use crate::{figures, versions};
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction};
+use pulleystair::{Given, Outcome};
+use pulleystair_fellow::{Candidate, Ended, Exchange, Fellow, Listed, Met, Terms, number_of};
+use pulleystair_shared::Server;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use tracing::{debug, info, warn};
+
+/// Datagrams taken in one turn, and the largest; a longer one shows by its length.
+const TURN: usize = 256;
+const MOST: usize = 2_048;
+/// So often what this front goes by is read back and verdicts are looked at, ms.
+const VERDICTS: f64 = 500.0;
+
+pub(crate) struct Company {
+    pub(crate) fellow: Fellow,
+    socket: Rc<UdpSocket>,
+    at: BTreeMap<String, SocketAddr>,
+    /// Servers' names by their numbers.
+    pub(crate) names: BTreeMap<u64, String>,
+    /// What the choice that is sent next was drawn from.
+    drawn: Vec<(u32, f64, f64)>,
+    pub(crate) approved: Option<Watched>,
+    /// The list's revision, for the fellow.
+    pub(crate) list: Value,
+    /// Figures that this front holds itself to for being adrift, by path: its own, and the one it goes by.
+    pub(crate) held: BTreeMap<String, (f64, f64)>,
+    /// What was last written to the log: servers doubted, the lost zone, fronts that are wrong.
+    told: (BTreeSet<u64>, Option<usize>, BTreeMap<String, String>),
+    verdicts: f64,
+    set: f64,
+}
+
+impl Company {
+    /// Joins the fleet that the rundown names, if it names one.
+    pub(crate) fn join(
+        rundown: &Rundown,
+        handle: &LoopHandle<'static, Edge>,
+        now: f64,
+        seed: u64,
+    ) -> anyhow::Result<Option<Box<Company>>> {
+        let (Some(fleet), Some(listen), Some(name)) =
+            (&rundown.fleet.name, rundown.fleet.listen, rundown.own_name())
+        else {
+            return Ok(None);
+        };
+        let it = &rundown.sharing;
+        let others = rundown.fleet.peers.iter().filter(|p| p.name != name);
+        let longest = rundown.products.iter().map(|p| p.time_limit_ms).fold(1_000.0, f64::max);
+        let terms = Terms {
+            exchange: Exchange {
+                fleet: fleet.clone(),
+                name: name.to_string(),
+                peers: others.clone().map(|p| p.name.clone()).collect(),
+                every: it.every_ms,
+                fan_out: it.fan_out,
+                bytes_s: it.bytes_s,
+                doubted: it.doubted_ms,
+                unheard: it.unheard_ms,
+            },
+            zone: rundown.zones.iter().position(|z| *z == rundown.zone).unwrap_or(0),
+            zones: rundown.zones.clone(),
+            lend: it.lend_ms,
+            further_s: it.further_s,
+            probes_s: it.probes_s,
+            hold: it.hold_ms,
+            stricter: it.stricter,
+            bucket: it.bucket_ms,
+            longest,
+        };
+        let at = others.map(|p| (p.name.clone(), p.at)).collect();
+        let mut fellow =
+            Fellow::new(terms, now, now as u64, seed).map_err(|e| anyhow::anyhow!("fleet.{e}"))?;
+        let approved = it.approved.clone().map(|file| {
+            let mut watched = Watched::new(file);
+            watched.replaced();
+            watched
+        });
+        if let Some(file) = &it.approved {
+            let chain = versions::read(file, rundown)?;
+            fellow.approved(chain).map_err(|e| anyhow::anyhow!("sharing.approved: {e}"))?;
+        }
+        let socket = UdpSocket::bind(listen)
+            .map_err(|e| anyhow::anyhow!("fleet.listen: {listen} can't be had: {e}"))?;
+        socket.set_nonblocking(true)?;
+        info!(target: "fleet", fleet, name, address = %socket.local_addr()?, "joins");
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
+        handle.insert_source(source, |_, _, edge: &mut Edge| {
+            edge.hear();
+            Ok(PostAction::Continue)
+        })?;
+        Ok(Some(Box::new(Company {
+            fellow,
+            socket,
+            at,
+            names: BTreeMap::new(),
+            drawn: Vec::new(),
+            approved,
+            list: Value::Null,
+            held: BTreeMap::new(),
+            told: (BTreeSet::new(), None, BTreeMap::new()),
+            verdicts: now,
+            set: f64::INFINITY,
+        })))
+    }
+
+    fn send(&self, out: Vec<pulleystair_fellow::Out>) {
+        for it in out {
+            if let Some(at) = self.at.get(self.fellow.name(it.to)) {
+                // What can't be sent now is lost as any other is.
+                let _ = self.socket.send_to(&it.bytes, at);
+            }
+        }
+    }
+}
+
+impl Floor {
+    fn number(&self, server: u32) -> u64 {
+        number_of(self.name(server))
+    }
+
+    /// The list as the fellow is told it.
+    pub(crate) fn company_listed(&mut self, list: &List) {
+        let rundown = &self.rundown;
+        let zone = |name: &str| rundown.zones.iter().position(|z| z == name).unwrap_or(0);
+        let listed = |s: &&crate::listing::Server| s.state == State::Ready;
+        let servers: Vec<Listed> = list
+            .servers
+            .iter()
+            .filter(listed)
+            .map(|s| Listed {
+                server: Server {
+                    id: number_of(&s.name),
+                    zone: zone(&s.zone),
+                    cell: s.cell,
+                    link: s.weight * rundown.fleet.link_unit_kb,
+                },
+                born: s.started_ms as u64,
+                cold_until: s.started_ms + rundown.rules.cold_ms,
+            })
+            .collect();
+        let mut rows: Vec<(usize, usize)> = list.titles.iter().map(|t| (t.first_cell, t.holders)).collect();
+        rows.sort_unstable();
+        rows.dedup();
+        let cells = rundown.fleet.cells;
+        let holders = |(first, count): (usize, usize)| -> Vec<u64> {
+            let has = |s: &&Listed| (s.server.cell + cells - first) % cells < count;
+            servers.iter().filter(has).map(|s| s.server.id).collect()
+        };
+        let titles = rows.into_iter().map(holders).collect();
+        let Some(company) = self.company.as_mut() else { return };
+        company.names = list.servers.iter().map(|s| (number_of(&s.name), s.name.clone())).collect();
+        company.list = figures::revision(list);
+        company.fellow.list(&servers, titles);
+    }
+
+    pub(crate) fn company_drew(&mut self, odds: &[(u32, f64, f64)]) {
+        if let Some(company) = self.company.as_mut() {
+            company.drawn = odds.to_vec();
+        }
+    }
+
+    /// An allocation goes out.
+    pub(crate) fn company_sent(&mut self, now: f64, play: u64, n: usize, server: u32) {
+        if self.company.is_none() {
+            return;
+        }
+        let id = self.number(server);
+        let Some(session) = self.book.get(play) else { return };
+        let (product, title) = (session.product as u16, number_of(&session.show.name) as u32);
+        let drawn = self.company.as_mut().map(|it| std::mem::take(&mut it.drawn)).unwrap_or_default();
+        let zones = &self.rundown.zones;
+        let at = |number: u32| self.servers.get(number as usize);
+        let candidates: Vec<Candidate> = drawn
+            .iter()
+            .filter_map(|(number, chance, room)| {
+                let server = at(*number)?;
+                let zone = zones.iter().position(|z| *z == server.zone).unwrap_or(0);
+                let server = Candidate {
+                    server: number_of(&server.name),
+                    born: server.born,
+                    zone,
+                    chance: *chance,
+                    room: *room,
+                };
+                Some(server)
+            })
+            .collect();
+        let chosen = candidates.iter().position(|c| c.server == id);
+        let Some(company) = self.company.as_mut() else { return };
+        company.fellow.sent(now, id, n > 1);
+        if let Some(chosen) = chosen {
+            company.fellow.ledger.chosen(play, n as u32, product, title.max(1), chosen, candidates);
+        }
+    }
+
+    pub(crate) fn company_probed(&mut self, server: u32) {
+        let (now, id) = (self.now(), self.number(server));
+        if let Some(company) = self.company.as_mut() {
+            company.fellow.probed(now, id);
+        }
+    }
+
+    /// An allocation that was out plays, or is out no more.
+    pub(crate) fn company_met(&mut self, now: f64, play: u64, server: u32, outcome: Outcome) {
+        if self.company.is_none() {
+            return;
+        }
+        let Some(session) = self.book.get(play) else { return };
+        let (n, waited, id) = (session.allocations() as u32, now - session.sent, self.number(server));
+        let wall = self.time_of_day();
+        let Some(company) = self.company.as_mut() else { return };
+        let met = match outcome {
+            Outcome::Playing => Some(Met::Success),
+            Outcome::Error => Some(Met::Error),
+            Outcome::TimedOut | Outcome::Broken => Some(Met::TimedOut),
+            Outcome::Unreachable => Some(Met::Refused),
+            Outcome::Full | Outcome::Finished | Outcome::Withdrawn | Outcome::NeverSent => None,
+        };
+        if let Some(met) = met {
+            company.fellow.met(now, id, met);
+        }
+        let how = match outcome {
+            Outcome::Playing => Ended::Playing(waited),
+            _ => Ended::GivenUp(waited),
+        };
+        company.fellow.ledger.ended(wall, play, n, how);
+    }
+}
+
+impl Edge {
+    /// Datagrams of other fronts.
+    fn hear(&mut self) {
+        let now = self.floor.now();
+        let Some(company) = self.floor.company.as_mut() else { return };
+        let mut room = [0; MOST];
+        for _ in 0..TURN {
+            match company.socket.recv_from(&mut room) {
+                Ok((n, _)) => {
+                    let out = company.fellow.came(now, &room[..n]);
+                    company.send(out);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                // On loopback a datagram to a front that is away comes back as an error of the next call.
+                Err(_) => {}
+            }
+        }
+        self.accompany();
+    }
+
+    /// Looks at the fellow if it wants to be; before anything is decided, so that no loan is used after its end.
+    pub(crate) fn accompany(&mut self) {
+        let floor = &mut self.floor;
+        let (now, wall) = (floor.now(), floor.time_of_day());
+        let Some(company) = floor.company.as_mut() else { return };
+        if now >= company.fellow.due() {
+            let numbers: BTreeMap<u64, u32> =
+                floor.server_numbers.iter().map(|(name, n)| (number_of(name), *n)).collect();
+            let id = |n: &u32| floor.servers.get(*n as usize).map(|s| number_of(&s.name));
+            company.fellow.waits(now, self.desk.waited_for().iter().filter_map(id));
+            let counts = self.desk.counts();
+            let counts = counts.iter().filter_map(|((n, product), c)| Some(((id(n)?, *product as u16), *c)));
+            company.fellow.counts(counts.collect());
+            let (given, out) = company.fellow.look(now, wall);
+            company.send(out);
+            let given: Vec<(u32, Given)> = given
+                .iter()
+                .filter_map(|it| {
+                    let told = Given {
+                        server: 0,
+                        doubted: it.doubted,
+                        pace: it.pace,
+                        further_gap: it.further_gap,
+                        probe_gap: it.probe_gap,
+                    };
+                    Some((*numbers.get(&it.server)?, told))
+                })
+                .collect();
+            company.log_beliefs();
+            if !given.is_empty() {
+                debug!(target: "fleet", servers = given.len(), "told of servers");
+                self.desk.given(now, &given);
+            }
+        }
+        if self.floor.company.as_ref().is_some_and(|it| now >= it.verdicts) {
+            self.verdicts(now, wall);
+        }
+        let Some(company) = self.floor.company.as_mut() else { return };
+        let due = company.fellow.due().min(company.verdicts);
+        // A clock can't be taken back: one is set only where none rings by then.
+        if due < company.set || company.set <= now {
+            company.set = due;
+            self.floor.clock(due, Clock::Fleet);
+        }
+    }
+
+    fn verdicts(&mut self, now: f64, wall: f64) {
+        let sections = self.goes_by();
+        let Some(company) = self.floor.company.as_mut() else { return };
+        company.verdicts = now + VERDICTS;
+        company.fellow.active(sections);
+        let stricter = company.fellow.stricter(wall);
+        if let Some(fleet) = company.fellow.drift(now, wall) {
+            let mut wrong = BTreeMap::new();
+            for it in fleet.fronts.iter().filter(|it| it.alarm) {
+                wrong.insert(it.front.clone(), it.verdict.name().to_string());
+                if company.told.2.get(&it.front).map(String::as_str) != Some(it.verdict.name()) {
+                    warn!(target: "fleet", front = it.front, verdict = it.verdict.name(), rule = it.rule, differs = ?it.differences, "drift");
+                }
+            }
+            for front in company.told.2.keys().filter(|front| !wrong.contains_key(*front)) {
+                info!(target: "fleet", front, "drift is over");
+            }
+            company.told.2 = wrong;
+        }
+        self.hold_to(&stricter);
+    }
+
+    /// All that this front can tell of the fleet, for `pulleystair-edge drift`.
+    pub(crate) fn fleet_told(&mut self) -> Option<Value> {
+        let (now, wall) = (self.floor.now(), self.floor.time_of_day());
+        self.verdicts(now, wall);
+        let company = self.floor.company.as_mut()?;
+        let names = company.names.clone();
+        Some(company.fellow.told_of(now, wall, &names))
+    }
+}
+
+impl Company {
+    fn log_beliefs(&mut self) {
+        let belief = self.fellow.belief();
+        if belief.doubted == self.told.0 && belief.lost == self.told.1 {
+            return;
+        }
+        let name = |id: &u64| self.names.get(id).cloned().unwrap_or_default();
+        let doubted: Vec<String> = belief.doubted.iter().map(name).collect();
+        info!(target: "fleet", ?doubted, zone_lost = belief.lost, "doubted on hearsay");
+        (self.told.0, self.told.1) = (belief.doubted.clone(), belief.lost);
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,6 +5,7 @@
 //! allocation's line tells how that went ([`Edge::allocation`], `servers`), and the waiting player is answered
 //! ([`Floor::answer`]). Segments go by [`Edge::segment`] and [`Edge::errand`]. Files are looked at in `watch`.
 
+use crate::company::Company;
 use crate::floor::{Clock, Floor, News, words};
 use crate::lines::{Doing, Key, Lines, Role, Stage};
 use crate::listing::{Known, List, Watched};
@@ -84,10 +85,20 @@
     let mut edge = Edge::new(rundown, handle.clone(), dropped)?;
     let door =
         handle.insert_source(Generic::new(listener, Interest::READ, Mode::Level), |_, listener, edge| {
-            edge.accept(listener);
+            edge.accept(listener, false);
             Ok(PostAction::Continue)
         })?;
     edge.floor.door = Some(door);
+    if let Some(at) = edge.floor.rundown.sharing.ask.filter(|_| edge.floor.company.is_some()) {
+        let asked =
+            TcpListener::bind(at).map_err(|e| anyhow::anyhow!("sharing.ask: {at} can't be had: {e}"))?;
+        asked.set_nonblocking(true)?;
+        info!(target: "fleet", address = %asked.local_addr()?, "may be asked");
+        handle.insert_source(Generic::new(asked, Interest::READ, Mode::Level), |_, asked, edge| {
+            edge.accept(asked, true);
+            Ok(PostAction::Continue)
+        })?;
+    }
     handle.insert_source(stop, |event, (), edge| match event.signal() {
         Signal::SIGHUP => edge.look_at_all(),
         Signal::SIGXFSZ => {}
@@ -122,6 +133,7 @@
     fn line_ready(&mut self, key: Key) {
         let now = self.floor.now();
         self.floor.lag.works(now);
+        self.accompany();
         let Some(line) = self.floor.lines.get(key) else { return };
         match &line.role {
             Role::Player(_) => self.player(key),
@@ -158,6 +170,8 @@
         let mut watched = Watched::new(rundown.list.clone());
         watched.replaced();
         let seals = Seals::read(&rundown.tls, since.as_secs())?;
+        let clocks = Clocks::new(since.as_secs_f64() * 1000.0);
+        let company = Company::join(&rundown, &handle, clocks.now(), seed)?;
         let floor = Floor {
             entry_keys,
             pass_keys,
@@ -181,7 +195,7 @@
             next_title: 0,
             servers: Vec::new(),
             server_numbers: HashMap::new(),
-            clocks: Clocks::new(since.as_secs_f64() * 1000.0),
+            clocks,
             news: VecDeque::new(),
             players: 0,
             fetchers: HashMap::new(),
@@ -191,6 +205,7 @@
             tally: Tally::default(),
             tallied: (Tally::default(), 0),
             dropped,
+            company,
             stopping: false,
             halted: false,
             rundown,
@@ -199,6 +214,7 @@
         let list = read_list(&edge.floor.rundown)?;
         // It may be older than what it tells of: a server that started anew since may not be listed so yet.
         edge.take_list(list, true);
+        edge.accompany();
         edge.look_at_homes();
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.list_poll_ms, Clock::List);
         edge.floor.clock(edge.floor.now() + edge.floor.rundown.limits.keys_poll_ms, Clock::Keys);
@@ -225,6 +241,7 @@
 
     /// Does what has fallen due.
     fn ring(&mut self) {
+        self.accompany();
         loop {
             let now = self.floor.now();
             let Some((due, clock)) = self.floor.clocks.pop(now) else { return };
@@ -245,7 +262,9 @@
                     self.look_at_keys();
                     self.look_at_seals();
                     self.look_at_homes();
+                    self.look_at_versions();
                 }
+                Clock::Fleet => self.accompany(),
                 Clock::Accept => self.floor.take_connections(true),
                 Clock::Tally => {
                     self.floor.clock(now + self.floor.rundown.limits.tally_ms, Clock::Tally);
--- a/crates/edge/src/lines.rs
+++ b/crates/edge/src/lines.rs
@@ -14,6 +14,8 @@
     pub last: bool,
     /// The answer's head is wanted without its body.
     pub bare: bool,
+    /// It is one of whoever operates this front.
+    pub operator: bool,
 }
 
 pub enum Role {
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -2,8 +2,10 @@
 
 use anyhow::Context;
 use clap::{Parser, Subcommand, ValueEnum};
+use pulleystair_edge::ask;
 use pulleystair_edge::edge::{self, read_list, stop_signals};
 use pulleystair_edge::rundown::Rundown;
+use pulleystair_edge::versions;
 use pulleystair_node::Posting;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -47,6 +49,14 @@
     Check { rundown: PathBuf },
     /// Show a rundown with its defaults filled in, as JSON
     Show { rundown: PathBuf },
+    /// Ask the running front of this rundown whether the fleet goes by what was approved; ends with 0 if so, 1 if a front
+    /// does not, 2 if nobody can say
+    Drift {
+        rundown: PathBuf,
+        /// All that the front tells, as JSON
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// Logs by a thread of its own, which writes what is left when the guard is dropped. A reader that is slow must not stall
@@ -64,18 +74,27 @@
     Ok((guard, dropped))
 }
 
-fn run(command: Command) -> anyhow::Result<()> {
+fn run(command: Command) -> anyhow::Result<ExitCode> {
     let stop = stop_signals()?;
     let (_guard, dropped) = logs(&command)?;
     match command.job {
-        Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop, dropped),
+        Job::Drift { rundown, json } => {
+            let told = ask::ask(&Rundown::read(&rundown)?)?;
+            let text = if json { serde_json::to_string_pretty(&told)? + "\n" } else { ask::table(&told) };
+            std::io::stdout().write_all(text.as_bytes())?;
+            return Ok(ExitCode::from(ask::status(&told)));
+        }
+        Job::Run { rundown } => edge::run(Rundown::read(&rundown)?, stop, dropped)?,
         Job::Node => {
             let path = std::env::var_os("PROXY_CONFIG").context("PROXY_CONFIG names no file")?;
-            pulleystair_node::run(Posting::read(Path::new(&path))?, stop)
+            pulleystair_node::run(Posting::read(Path::new(&path))?, stop)?;
         }
         Job::Check { rundown } => {
             let it = Rundown::read(&rundown)?;
             let list = read_list(&it)?;
+            if let Some(file) = &it.sharing.approved {
+                versions::read(file, &it)?;
+            }
             println!(
                 "{}: good; {} products, {} rungs, {} servers, {} titles",
                 rundown.display(),
@@ -84,22 +103,24 @@
                 list.servers.len(),
                 list.titles.len()
             );
-            Ok(())
         }
         Job::Show { rundown } => {
             println!("{}", serde_json::to_string_pretty(&Rundown::read(&rundown)?)?);
-            Ok(())
         }
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn main() -> ExitCode {
-    match run(Command::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
+    let command = Command::parse();
+    let drift = matches!(command.job, Job::Drift { .. });
+    match run(command) {
+        Ok(code) => code,
         Err(e) => {
             // Whoever should read it may be gone, which is no reason to end in a panic.
             let _ = writeln!(std::io::stderr(), "pulleystair-edge: {e:#}");
-            ExitCode::FAILURE
+            // Whether a fleet is in step is not known where its front can't be asked.
+            if drift { ExitCode::from(2) } else { ExitCode::FAILURE }
         }
     }
 }
--- a/crates/edge/src/players.rs
+++ b/crates/edge/src/players.rs
@@ -19,7 +19,7 @@
 const ACCEPT_AGAIN: f64 = 100.0;
 
 impl Edge {
-    pub(crate) fn accept(&mut self, listener: &TcpListener) {
+    pub(crate) fn accept(&mut self, listener: &TcpListener, operator: bool) {
         loop {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
@@ -41,12 +41,14 @@
             if limits.send_buffer_bytes > 0 {
                 let _ = socket2::SockRef::from(&stream).set_send_buffer_size(limits.send_buffer_bytes);
             }
-            let seal = floor.seals.players.as_ref().map(|s| rustls::ServerConnection::new(s.terms.clone()));
+            let seals = floor.seals.players.as_ref().filter(|_| !operator);
+            let seal = seals.map(|s| rustls::ServerConnection::new(s.terms.clone()));
             let Ok(seal) = seal.transpose() else { continue };
             let sealed = seal.is_some();
             let seal = seal.map(rustls::Connection::from);
             let Ok(key) = floor.lines.open(stream, seal, Role::Player(Doing::Reading)) else { continue };
             floor.players += 1;
+            floor.lines.get(key).into_iter().for_each(|line| line.manner.operator = operator);
             if floor.players > floor.rundown.limits.connections {
                 let answer = floor.away("this front has all the connections it takes");
                 floor.leave(key, &answer);
@@ -116,7 +118,9 @@
                 }
                 Ok(Some((request, used))) => {
                     line.input.drain(..used);
-                    line.manner = Manner { last: !request.keep_alive, bare: request.method == "HEAD" };
+                    let operator = line.manner.operator;
+                    line.manner =
+                        Manner { last: !request.keep_alive, bare: request.method == "HEAD", operator };
                     line.due = f64::INFINITY;
                     self.request(key, &request);
                 }
@@ -126,6 +130,14 @@
 
     /// Answers one request, or begins to.
     pub(crate) fn request(&mut self, key: Key, request: &http::Request) {
+        if self.floor.lines.get(key).is_some_and(|line| line.manner.operator) {
+            let told = if request.target == "/fleet" { self.fleet_told() } else { None };
+            let answer = told.map_or_else(
+                || words(404, "GET /fleet tells what this front knows of the fleet"),
+                |told| words(200, &told.to_string()),
+            );
+            return self.floor.answer(key, &answer);
+        }
         let answer = match (request.method.as_str(), address::read(&request.target)) {
             (_, None) => words(404, "nothing is served here"),
             ("OPTIONS", _) => words(204, ""),
--- /dev/null
+++ b/crates/edge/src/rundown/check.rs
@@ -0,0 +1,174 @@
+//! What can't be meant.
+
+use super::*;
+use pulleystair_dash::address;
+
+impl Rundown {
+    /// The first value that can't be: its path, what it is, what is allowed.
+    pub(crate) fn check(&self) -> Result<(), (String, String, &'static str)> {
+        let positive = |path: &str, x: f64| {
+            let good = x.is_finite() && x > 0.0 && x <= 1e12;
+            good.then_some(()).ok_or((path.to_string(), x.to_string(), "a number above 0"))
+        };
+        let from_0 = |path: &str, x: f64| {
+            let good = x.is_finite() && (0.0..=1e12).contains(&x);
+            good.then_some(()).ok_or((path.to_string(), x.to_string(), "a number from 0"))
+        };
+        let part = |path: &str, x: f64| {
+            let good = (0.0..=1.0).contains(&x);
+            good.then_some(()).ok_or((path.to_string(), x.to_string(), "a number from 0 to 1"))
+        };
+        let count = |path: &str, n: usize, most: usize| {
+            let good = n > 0 && n <= most;
+            good.then_some(()).ok_or((
+                path.to_string(),
+                n.to_string(),
+                "a whole number from 1, not that high",
+            ))
+        };
+        let named = |path: String, name: &str| {
+            let allowed = "1 to 64 letters, digits, - _ .";
+            address::name(name).then_some(()).ok_or((path, format!("{name:?}"), allowed))
+        };
+        count("zones", self.zones.len(), 1000)?;
+        if !self.zones.contains(&self.zone) {
+            return Err(("zone".into(), format!("{:?}", self.zone), "one of zones"));
+        }
+        count("fronts", self.fronts, 100_000)?;
+        if self.rank >= self.fronts {
+            return Err(("rank".into(), self.rank.to_string(), "a whole number under fronts"));
+        }
+        count("ladder", self.ladder.len(), 64)?;
+        for (i, rung) in self.ladder.iter().enumerate() {
+            positive(&format!("ladder[{i}].rate_kb"), rung.rate_kb)?;
+            from_0(&format!("ladder[{i}].earns"), rung.earns)?;
+            if i > 0 && rung.rate_kb <= self.ladder[i - 1].rate_kb {
+                let path = format!("ladder[{i}].rate_kb");
+                return Err((path, rung.rate_kb.to_string(), "a rate above that of the rung before"));
+            }
+        }
+        count("products", self.products.len(), 1000)?;
+        for (i, product) in self.products.iter().enumerate() {
+            let path = |name: &str| format!("products[{i}].{name}");
+            named(path("name"), &product.name)?;
+            if self.products[..i].iter().any(|p| p.name == product.name) {
+                return Err((
+                    path("name"),
+                    format!("{:?}", product.name),
+                    "a name that no other product has",
+                ));
+            }
+            positive(&path("importance"), product.importance)?;
+            positive(&path("first_frame_target_ms"), product.first_frame_target_ms)?;
+            positive(&path("time_limit_ms"), product.time_limit_ms)?;
+            if product.time_limit_ms < product.first_frame_target_ms {
+                let found = product.time_limit_ms.to_string();
+                return Err((path("time_limit_ms"), found, "a time no shorter than first_frame_target_ms"));
+            }
+            from_0(&path("repeat_window_ms"), product.repeat_window_ms)?;
+            positive(&path("scale"), product.scale)?;
+            for (name, rung) in [("floor", Some(product.floor)), ("top", product.top)] {
+                if rung.is_some_and(|r| r >= self.ladder.len()) {
+                    return Err((path(name), format!("{rung:?}"), "an index of the ladder"));
+                }
+            }
+            if product.top.is_some_and(|top| top < product.floor) {
+                return Err((path("top"), format!("{:?}", product.top), "a rung no lower than floor"));
+            }
+        }
+        count("fleet.cells", self.fleet.cells, 65_536)?;
+        count("fleet.racks", self.fleet.racks, self.fleet.cells)?;
+        count("fleet.kinds", self.fleet.kinds.len(), 256)?;
+        for (i, kind) in self.fleet.kinds.iter().enumerate() {
+            named(format!("fleet.kinds[{i}].name"), &kind.name)?;
+            count(&format!("fleet.kinds[{i}].streams"), kind.streams, 1_000_000)?;
+        }
+        positive("fleet.rack_link_kb", self.fleet.rack_link_kb)?;
+        positive("fleet.link_unit_kb", self.fleet.link_unit_kb)?;
+        positive("fleet.links_kb", self.fleet.links_kb)?;
+        part("fleet.shared_part", self.fleet.shared_part)?;
+        from_0("fleet.notes_late_ms", self.fleet.notes_late_ms)?;
+        from_0("fleet.stall_cost", self.fleet.stall_cost)?;
+        from_0("fleet.change_costs_s", self.fleet.change_costs_s)?;
+        from_0("rules.drain_grace_ms", self.rules.drain_grace_ms)?;
+        from_0("rules.cold_ms", self.rules.cold_ms)?;
+        part("rules.cold_from", self.rules.cold_from)?;
+        positive("rules.overload_factor", self.rules.overload_factor)?;
+        count("rules.allocations", self.rules.allocations, 100)?;
+        from_0("rules.retry_after_ms", self.rules.retry_after_ms)?;
+        if let Some(budget) = &self.rules.budget {
+            positive("rules.budget.span_ms", budget.span_ms)?;
+            from_0("rules.budget.share", budget.share)?;
+            from_0("rules.budget.free", budget.free)?;
+        }
+        from_0("prices.probe", self.prices.probe)?;
+        from_0("prices.cross_zone", self.prices.cross_zone)?;
+        positive("admission.least", self.admission.least)?;
+        positive("admission.most", self.admission.most)?;
+        if self.admission.most < self.admission.least {
+            let found = self.admission.most.to_string();
+            return Err(("admission.most".into(), found, "a number no lower than admission.least"));
+        }
+        if !(1.0..=100.0).contains(&self.admission.tolerance) {
+            let found = self.admission.tolerance.to_string();
+            return Err(("admission.tolerance".into(), found, "a number from 1 to 100"));
+        }
+        from_0("admission.slack_ms", self.admission.slack_ms)?;
+        count("admission.sample", self.admission.sample, 100_000)?;
+        count("admission.queue", self.admission.queue, 1_000_000)?;
+        from_0("admission.crowded_ms", self.admission.crowded_ms)?;
+        positive("admission.behind_ms", self.admission.behind_ms)?;
+        positive("admission.work_ms", self.admission.work_ms)?;
+        from_0("admission.reserve_ms", self.admission.reserve_ms)?;
+        count("reads.tries", self.reads.tries, 100)?;
+        positive("reads.patience_ms", self.reads.patience_ms)?;
+        positive("reads.span_ms", self.reads.span_ms)?;
+        from_0("reads.share", self.reads.share)?;
+        from_0("reads.free", self.reads.free)?;
+        let l = &self.limits;
+        let counts = [
+            ("connections", l.connections),
+            ("header_bytes", l.header_bytes),
+            ("relay_bytes", l.relay_bytes),
+            ("deciding", l.deciding),
+            ("plays", l.plays),
+            ("sessions", l.sessions),
+            ("waiters", l.waiters),
+            ("fetches", l.fetches),
+            ("server_connections", l.server_connections),
+            ("server_queue", l.server_queue),
+        ];
+        for (name, n) in counts {
+            count(&format!("limits.{name}"), n, 10_000_000)?;
+        }
+        let times = [
+            ("header_ms", l.header_ms),
+            ("idle_ms", l.idle_ms),
+            ("slow_reader_ms", l.slow_reader_ms),
+            ("slow_reader_kb", l.slow_reader_kb),
+            ("server_idle_ms", l.server_idle_ms),
+            ("dial_ms", l.dial_ms),
+            ("segment_ms", l.segment_ms),
+            ("play_idle_ms", l.play_idle_ms),
+            ("remember_ms", l.remember_ms),
+            ("come_back_ms", l.come_back_ms),
+            ("list_poll_ms", l.list_poll_ms),
+            ("keys_poll_ms", l.keys_poll_ms),
+            ("pass_ms", l.pass_ms),
+            ("key_overlap_ms", l.key_overlap_ms),
+            ("expiry_ms", l.expiry_ms),
+            ("stop_ms", l.stop_ms),
+            ("tally_ms", l.tally_ms),
+        ];
+        for (name, x) in times {
+            positive(&format!("limits.{name}"), x)?;
+        }
+        from_0("limits.skew_ms", l.skew_ms)?;
+        self.check_sharing()?;
+        if l.list_poll_ms > self.rules.drain_grace_ms {
+            let allowed = "a time no longer than rules.drain_grace_ms";
+            return Err(("limits.list_poll_ms".into(), l.list_poll_ms.to_string(), allowed));
+        }
+        Ok(())
+    }
+}
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -1,7 +1,8 @@
 //! What comes from media servers: set-ups' answers, the notes on plays that run, and the answers to errands.
 
 use crate::edge::Edge;
-use crate::floor::{figures, note_figures, words};
+use crate::floor::words;
+use crate::hands::{figures, note_figures};
 use crate::http::{self, Body};
 use crate::lines::{Doing, Key, Role, Stage, What};
 use crate::sessions::Life;
@@ -71,6 +72,7 @@
     /// The first frame is at hand: whoever waits is answered.
     pub(crate) fn plays(&mut self, now: f64, play: u64, server: u32, load: &[Figure]) {
         let floor = &mut self.floor;
+        floor.company_met(now, play, server, Outcome::Playing);
         let asked = floor.book.get(play).map_or(now, |s| s.sent);
         floor.limit.set_up(now - asked, floor.out);
         floor.out = floor.out.saturating_sub(1);
@@ -133,6 +135,10 @@
     pub(crate) fn allocation_ended(&mut self, play: u64, server: u32, outcome: Outcome, load: &[Figure]) {
         let now = self.floor.now();
         let mut closed = false;
+        let out = self.floor.book.get(play).is_some_and(|s| s.life() == Life::Out);
+        if out {
+            self.floor.company_met(now, play, server, outcome);
+        }
         if let Some(session) = self.floor.book.get_mut(play) {
             if let Some(line) = session.line.take() {
                 self.floor.lines.close(line);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -46,6 +46,8 @@
                 servers.push(Server {
                     name: server.name.clone(),
                     address: server.address,
+                    zone: server.zone.clone(),
+                    born: server.started_ms as u64,
                     idle: Vec::new(),
                     lines: 0,
                     queue: VecDeque::new(),
@@ -55,6 +57,8 @@
                 servers[number as usize].address = server.address;
                 stale.append(&mut servers[number as usize].idle);
             }
+            let at = &mut servers[number as usize];
+            (at.zone, at.born) = (server.zone.clone(), server.started_ms as u64);
             number
         });
         stale.into_iter().for_each(|key| floor.drop_errands_line(key));
@@ -72,6 +76,7 @@
             let shows = &floor.shows;
             floor.titles.retain(|_, number| shows.contains_key(number));
         }
+        floor.company_listed(&list);
         let draining = list.servers.iter().filter(|s| s.state == crate::listing::State::Draining).count();
         info!(target: "list", servers = list.servers.len(), draining, titles = list.titles.len(), "list taken");
         self.desk.list(now, true, old, &lines);
@@ -119,6 +124,10 @@
         self.look_at_list();
         self.look_at_keys();
         self.look_at_seals();
+        if let Some(approved) = self.floor.company.as_mut().and_then(|it| it.approved.as_mut()) {
+            approved.again();
+        }
+        self.look_at_versions();
     }
 
     /// Puts replaced keys in service: checked whole first, so that of a bad set nothing is taken.
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -89,10 +89,20 @@
     }
 
     async fn run_by(day: Value, program: Program) -> House {
+        let count = day["fronts"].as_u64().expect("a number") as usize;
+        House::some(day, program, count, |_, _| {}).await
+    }
+
+    /// A house of which only the first fronts are started, after its files were changed.
+    pub async fn some(day: Value, program: Program, count: usize, change: impl FnOnce(&Set, &Path)) -> House {
         let day: Day = serde_json::from_value(day).expect("the day reads");
         let folder = tempfile::tempdir().expect("a folder can be had");
         let set = Set::build(day, program, folder.path()).await.expect("the set is built");
-        let at = set.start().await.expect("the fronts start");
+        change(&set, folder.path());
+        let mut at = Vec::new();
+        for front in 0..count {
+            at.push(set.fronts.start(front).await.expect("the fronts start"));
+        }
         let seal = set.fronts.connector().expect("an authority's own connector");
         House { set, at, folder, requests: AtomicU64::new(1), seal }
     }
@@ -153,23 +163,44 @@
         address::manifest(of, title, &self.token(session, product))
     }
 
-    /// Writes a manifest request of a session; its answer is to be waited for by [`Asking::answer`].
-    pub async fn ask_at(&self, front: usize, session: &str, product: usize) -> Asking {
+    /// The same for any of the day's titles, by its place among all.
+    pub async fn ask_title(&self, front: usize, session: &str, title: usize) -> Asking {
+        let of = &self.titles[title];
+        let product = &self.day.products[of.product].name;
+        let token = self.fronts.sign(&Entry {
+            jti: session.into(),
+            sub: "viewer".into(),
+            product: product.clone(),
+            title: of.name.clone(),
+            top: 1,
+            exp: (self.log.now() / 1000.0) as u64 + 600,
+        });
+        let target = address::manifest(product, &of.name, &token);
+        self.write_asking(front, session, title, &target).await
+    }
+
+    async fn write_asking(&self, front: usize, session: &str, title: usize, target: &str) -> Asking {
         let mut peer = self.call(front).await.expect("the front takes connections");
         let request = self.requests.fetch_add(1, Ordering::Relaxed);
+        let of = &self.titles[title];
         self.log.saw(What::Asked {
             request,
             session: session.into(),
             front,
-            product,
-            title: self.titles[product].name.clone(),
+            product: of.product,
+            title: of.name.clone(),
             top: 1,
         });
-        let target = self.manifest(session, product);
-        peer.write(get(&target).as_bytes()).await.expect("the request is taken");
+        peer.write(get(target).as_bytes()).await.expect("the request is taken");
         Asking { peer, request, log: self.log.clone() }
     }
 
+    /// Writes a manifest request of a session; its answer is to be waited for by [`Asking::answer`].
+    pub async fn ask_at(&self, front: usize, session: &str, product: usize) -> Asking {
+        let target = self.manifest(session, product);
+        self.write_asking(front, session, product, &target).await
+    }
+
     /// Asks for a play of up to this rung, outside the log of requests.
     pub async fn ask_top(&self, session: &str, product: usize, top: usize) -> Message {
         let (of, title) = (&self.day.products[product].name, &self.titles[product].name);
--- a/crates/fellow/src/lib.rs
+++ b/crates/fellow/src/lib.rs
@@ -14,7 +14,7 @@
 use pulleystair_drift::verdict::{Verdict, judge};
 use pulleystair_drift::{Active, Sections, differences};
 use pulleystair_gossip::message::Origin;
-use pulleystair_gossip::{Gossip, Out, Unfit, View, origin_of};
+use pulleystair_gossip::{Gossip, Unfit, View, origin_of};
 use pulleystair_shared::budgets::{Budgets, Kind, OWN};
 use pulleystair_shared::counts::Counts;
 use pulleystair_shared::judgements::{Belief, Judgements};
@@ -23,7 +23,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
-pub use pulleystair_gossip::Terms as Exchange;
+pub use pulleystair_gossip::{Out, Terms as Exchange};
 pub use pulleystair_shared::judgements::Met;
 pub use pulleystair_whatif::{Candidate, Ended};
 
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -1,5 +1,6 @@
 //! Real fronts as processes: writes what they are given at start, starts, kills and stops them.
 
+use crate::between::Between;
 use crate::script::Day;
 use anyhow::{Context, Result, bail, ensure};
 use pulleystair_boxes::files::put;
@@ -51,6 +52,8 @@
     zones: usize,
     all: Arc<Mutex<Vec<Front>>>,
     log: Log,
+    /// What stands between fronts that share.
+    pub between: Option<Between>,
     /// The portal's present key, and how many keys there were.
     portal: Arc<Mutex<(Ring, usize)>>,
     /// Who vouches for fronts and servers, where they speak TLS.
@@ -73,6 +76,30 @@
     format!("{of} tokens of this laboratory, not a secret {n}").into_bytes()
 }
 
+/// The name of a front among its peers.
+pub fn name(front: usize) -> String {
+    format!("front-{front}")
+}
+
+/// A port that nobody has at present.
+fn free_port() -> Result<SocketAddr> {
+    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+/// The rundown of one front of a day, where its fronts share also with its ways to the others.
+fn shared_rundown(day: &Day, front: usize, between: &Option<Between>) -> Result<serde_json::Value> {
+    let mut it = rundown(day, front);
+    if let (Some(between), Some(sharing)) = (between, &day.sharing) {
+        let peer = |to: usize| json!({ "name": name(to), "at": between.way(front, to) });
+        it["fleet"]["name"] = json!("laboratory");
+        it["fleet"]["listen"] = json!("127.0.0.1:0");
+        it["fleet"]["peers"] = (0..day.fronts).map(peer).collect();
+        it["sharing"] = json!(sharing);
+        it["sharing"]["ask"] = json!(free_port()?);
+    }
+    Ok(it)
+}
+
 /// The rundown of one front of a day.
 pub fn rundown(day: &Day, front: usize) -> serde_json::Value {
     let fleet = &day.fleet;
@@ -135,8 +162,9 @@
 impl Fronts {
     /// Writes keys and rundowns into the folder; the list must be there before a front starts.
     pub fn new(day: &Day, program: Program, folder: &Path, log: Log) -> Result<Fronts> {
+        let between = day.sharing.as_ref().map(|_| Between::open(day.fronts, day.seed)).transpose()?;
         for front in 0..day.fronts {
-            let text = serde_json::to_string_pretty(&rundown(day, front))?;
+            let text = serde_json::to_string_pretty(&shared_rundown(day, front, &between)?)?;
             std::fs::write(folder.join(format!("front-{front}.json")), text)?;
         }
         let all = (0..day.fronts).map(|_| Front { child: None, address: None, home: None }).collect();
@@ -146,6 +174,7 @@
             zones: day.zones.len(),
             all: Arc::new(Mutex::new(all)),
             log,
+            between,
             portal: Arc::new(Mutex::new((ring(1), 1))),
             authority: day.tls.then(|| Arc::new(Authority::default())),
         };
@@ -228,7 +257,11 @@
             .with_context(|| format!("{} can't be started", self.program.path.display()))?;
         let start = Instant::now();
         let address = loop {
-            if let Some(address) = listens(&std::fs::read(&file)?[said..]) {
+            let said = &std::fs::read(&file)?[said..];
+            if let Some(address) = tells(said, "listens") {
+                if let Some((between, at)) = self.between.as_ref().zip(tells(said, "joins")) {
+                    between.listens(front, at);
+                }
                 break address;
             }
             ensure!(start.elapsed() < START, "front {front} does not listen; see {}", file.display());
@@ -324,9 +357,9 @@
     }
 }
 
-/// Where a front says that it listens.
-fn listens(words: &[u8]) -> Option<SocketAddr> {
+/// The address that a front tells with this message.
+fn tells(words: &[u8], message: &str) -> Option<SocketAddr> {
     let lines = words.split(|b| *b == b'\n').filter_map(|l| serde_json::from_slice(l).ok());
-    let mut lines = lines.filter(|l: &serde_json::Value| l["message"] == "listens");
+    let mut lines = lines.filter(|l: &serde_json::Value| l["message"] == message);
     lines.next()?["address"].as_str()?.parse().ok()
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! front costs. The verdict is the checker's, on the sockets' logs.
 
 pub mod baseline;
+pub mod between;
 pub mod day;
 pub mod fronts;
 pub mod load;
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -32,6 +32,8 @@
     /// How many set-ups a front has out at once, likewise.
     #[serde(default)]
     pub admission: serde_json::Map<String, serde_json::Value>,
+    /// Fronts share what they know, over relays; how, as in a front's rundown. Left out, they don't.
+    pub sharing: Option<serde_json::Map<String, serde_json::Value>>,
     /// Players, fronts and servers speak TLS, each with a certificate of the laboratory's own authority.
     #[serde(default)]
     pub tls: bool,
@@ -205,6 +207,12 @@
     ZoneLoss,
     /// A front is killed, and started again after the length.
     FrontDeath,
+    /// The exchange between fronts loses so large a part of its datagrams, doubles as large a part, and is late.
+    ExchangeLoss,
+    /// Fronts of one side, so large a part of them, and the others don't hear each other.
+    ExchangeSplit,
+    /// So large a part of the fronts is heard, and hears nothing.
+    ExchangeDeaf,
     /// Token keys, and certificates where there are any, are replaced so many times over the length.
     Renew,
     /// So many times the usual new plays come.
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -225,6 +225,17 @@
                     eprintln!("pulleystair-lab: {e}");
                 }
             }
+            Kind::ExchangeLoss | Kind::ExchangeSplit | Kind::ExchangeDeaf => {
+                let Some(between) = &self.fronts.between else { return };
+                let some = some(&mut rnd, (0..self.fronts.count()).collect(), trouble.part);
+                between.change(|from, to, way| match trouble.kind {
+                    Kind::ExchangeLoss => (way.lost, way.doubled, way.late_ms) = (size, size, 20.0),
+                    Kind::ExchangeSplit => way.open &= some.contains(&from) == some.contains(&to),
+                    _ => way.open &= !some.contains(&to),
+                });
+                sleep(length).await;
+                between.heal();
+            }
             Kind::Crash | Kind::ZoneLoss => {
                 let (among, part) = if trouble.kind == Kind::Crash {
                     (all, trouble.part)
--- a/crates/shared/src/judgements.rs
+++ b/crates/shared/src/judgements.rs
@@ -8,10 +8,11 @@
 //! - It takes [`SEVERAL`] fronts that met failures, and more of them than of those that it served.
 //! - However many agree, **no more than [`LINKS`] of all links in sum and no more than [`HOLDERS`] of any title's holders
 //!   are doubted on hearsay**, so that any few that lie, or a fleet that is deaf, cost no more than that.
-//! - A zone counts as lost where at least [`LOST`] of its servers failed, as this front and those of its zone met them,
-//!   and none of it served any of them within the window, while servers elsewhere do. This front must have met a failure
-//!   there itself, or [`SEVERAL`] of its zone. At most one zone does, with no more than [`ZONE_LINKS`] of all links; its
-//!   servers are doubted beside those above, and all are taken back with the first of them that serves.
+//! - A zone counts as lost where at least [`LOST`] of its servers were silent or refused since any of them last served,
+//!   as this front and those of its zone met them, while servers elsewhere serve. This front must have met such a failure
+//!   there itself, or [`SEVERAL`] of its zone. Where words are old, failures count as that much older and successes do
+//!   not. At most one zone does, with no more than [`ZONE_LINKS`] of all links; its servers are doubted beside those above,
+//!   and all are taken back with the first of them that serves.
 //!
 //! A doubted server is tried at its pace, so what is doubted wrongly is found out.
 
@@ -83,6 +84,25 @@
 struct Row {
     server: u64,
     tries: Tries,
+    /// How long ago it last served, and was last silent or refused, in tenths of a second.
+    served: Option<u8>,
+    failed: Option<u8>,
+}
+
+/// What a front met at a server, with the latest moments that it served and the earliest that it last failed, on this
+/// front's clock.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    zone: Option<usize>,
+    tries: Tries,
+    served: Option<f64>,
+    failed: Option<f64>,
+}
+
+const TENTH: f64 = 100.0;
+
+fn ago(now: f64, at: Option<&f64>) -> Option<u8> {
+    at.map(|at| ((now - at) / TENTH).clamp(0.0, 255.0) as u8)
 }
 
 /// What is believed of the servers.
@@ -98,13 +118,20 @@
     /// The present half of the window and the one before, and when the present one began.
     halves: [BTreeMap<u64, Tries>; 2],
     began: f64,
-    /// The servers that served this front last, and when.
+    /// The servers that served this front last, and when; and that were silent or refused.
     served: BTreeMap<u64, f64>,
+    failed: BTreeMap<u64, f64>,
 }
 
 impl Judgements {
     pub fn new(now: f64, zone: usize) -> Judgements {
-        Judgements { zone, halves: Default::default(), began: now, served: BTreeMap::new() }
+        Judgements {
+            zone,
+            halves: Default::default(),
+            began: now,
+            served: BTreeMap::new(),
+            failed: BTreeMap::new(),
+        }
     }
 
     pub fn met(&mut self, now: f64, server: u64, met: Met) {
@@ -117,9 +144,11 @@
             Met::TimedOut => tries.timed_out += 1,
             Met::Refused => tries.refused += 1,
         }
-        if met == Met::Success {
-            self.served.insert(server, now);
-        }
+        match met {
+            Met::Success => self.served.insert(server, now),
+            Met::TimedOut | Met::Refused => self.failed.insert(server, now),
+            Met::Error => None,
+        };
     }
 
     fn turn(&mut self, now: f64) {
@@ -133,6 +162,7 @@
             self.halves[0].clear();
         }
         self.served.retain(|_, at| now < *at + WINDOW);
+        self.failed.retain(|_, at| now < *at + WINDOW);
     }
 
     fn own(&self) -> BTreeMap<u64, Tries> {
@@ -145,7 +175,13 @@
 
     pub fn cells(&mut self, now: f64) -> Vec<Vec<u8>> {
         self.turn(now);
-        chunks(self.own().into_iter().map(|(server, tries)| Row { server, tries }), CELL)
+        let row = |(server, tries): (u64, Tries)| Row {
+            server,
+            tries,
+            served: ago(now, self.served.get(&server)),
+            failed: ago(now, self.failed.get(&server)),
+        };
+        chunks(self.own().into_iter().map(row), CELL)
     }
 
     /// What to believe. `titles`: the holders of each title, by id.
@@ -153,17 +189,23 @@
         self.turn(now);
         let own = self.own();
         // What each fresh front met, by server.
-        let mut words: BTreeMap<u64, Vec<(Option<usize>, Tries)>> = BTreeMap::new();
+        let mut words: BTreeMap<u64, Vec<Word>> = BTreeMap::new();
         for peer in heard.iter().filter(|p| p.age < WINDOW / 2.0) {
             let mut said = BTreeMap::new();
             for row in items::<Row>(&peer.judgements) {
-                said.insert(row.server, row.tries);
+                said.insert(row.server, row);
             }
-            for (server, tries) in said.into_iter().filter(|(_, tries)| tries.sound()) {
-                words.entry(server).or_default().push((peer.zone, tries));
+            for row in said.into_values().filter(|row| row.tries.sound()) {
+                let at = |ago: Option<u8>, more: f64| ago.map(|n| now - f64::from(n) * TENTH - more);
+                words.entry(row.server).or_default().push(Word {
+                    zone: peer.zone,
+                    tries: row.tries,
+                    served: at(row.served, 0.0),
+                    failed: at(row.failed, peer.age + TENTH),
+                });
             }
         }
-        let lost = self.lost(&own, &words, servers);
+        let lost = self.lost(&words, servers);
         let mut doubted = BTreeSet::new();
         let mut suspects: Vec<(usize, &Server)> = servers
             .iter()
@@ -189,9 +231,9 @@
     }
 
     /// How many fronts speak against a server, where that is enough.
-    fn against(&self, own: Option<&Tries>, words: &[(Option<usize>, Tries)]) -> Option<usize> {
+    fn against(&self, own: Option<&Tries>, words: &[Word]) -> Option<usize> {
         let mine = own.map(|tries| (Some(self.zone), *tries));
-        let all: Vec<(Option<usize>, Tries)> = words.iter().copied().chain(mine).collect();
+        let all: Vec<(Option<usize>, Tries)> = words.iter().map(|w| (w.zone, w.tries)).chain(mine).collect();
         let near: Vec<(Option<usize>, Tries)> =
             all.iter().filter(|w| w.0 == Some(self.zone)).copied().collect();
         let count = |from: &[(Option<usize>, Tries)]| {
@@ -208,46 +250,34 @@
         (bad >= SEVERAL && bad > good && zones.len() >= 2 && !near_good).then_some(bad)
     }
 
-    /// The zone whose servers failed this front and those near it, and served none of them.
-    fn lost(
-        &self,
-        own: &BTreeMap<u64, Tries>,
-        words: &BTreeMap<u64, Vec<(Option<usize>, Tries)>>,
-        servers: &[Server],
-    ) -> Option<usize> {
-        let near = |id: u64| {
-            let mut sum = own.get(&id).copied().unwrap_or_default();
-            for (_, tries) in words.get(&id).into_iter().flatten().filter(|w| w.0 == Some(self.zone)) {
-                sum.add(tries);
-            }
-            sum
-        };
-        let mut zones: BTreeMap<usize, (usize, usize, u32, f64)> = BTreeMap::new();
-        for server in servers {
-            let sum = near(server.id);
-            let (count, failed, served, links) = zones.entry(server.zone).or_default();
-            *count += 1;
-            *failed += usize::from(sum.failures() > 0 && sum.successes == 0);
-            *served += sum.successes + u32::from(self.served.contains_key(&server.id));
-            *links += server.link;
-        }
-        // One front of the zone that makes it up must not be enough.
-        let met = |zone: usize| {
-            let there: Vec<u64> = servers.iter().filter(|s| s.zone == zone).map(|s| s.id).collect();
-            let most = |id: &u64| {
-                let near = words.get(id).into_iter().flatten().filter(|w| w.0 == Some(self.zone));
-                near.filter(|w| w.1.failures() > 0).count()
-            };
-            let mine = there.iter().any(|id| own.get(id).is_some_and(|tries| tries.failures() > 0));
-            mine || there.iter().map(most).max().is_some_and(|most| most >= SEVERAL)
+    /// The zone whose servers were silent to this front and those near it since the last of them served any.
+    fn lost(&self, words: &BTreeMap<u64, Vec<Word>>, servers: &[Server]) -> Option<usize> {
+        let near = |id: u64| words.get(&id).into_iter().flatten().filter(|w| w.zone == Some(self.zone));
+        let mut zones: BTreeMap<usize, Vec<&Server>> = BTreeMap::new();
+        servers.iter().for_each(|server| zones.entry(server.zone).or_default().push(server));
+        let served = |there: &[&Server]| {
+            let last = there.iter().flat_map(|s| {
+                let mine = self.served.get(&s.id).copied();
+                near(s.id).filter_map(|w| w.served).chain(mine)
+            });
+            last.fold(f64::NEG_INFINITY, f64::max)
         };
         let all: f64 = servers.iter().map(|s| s.link).sum();
-        let dark = |z: &(usize, usize, u32, f64)| {
-            let least = ((z.0 as f64 * LOST).ceil() as usize).max(LOST_LEAST);
-            z.1 >= least && z.2 == 0 && z.3 <= all * ZONE_LINKS
+        let dark = |there: &[&Server]| {
+            let last = served(there);
+            let since = |at: f64| at > last;
+            let mine = |s: &Server| self.failed.get(&s.id).is_some_and(|at| since(*at));
+            let theirs = |s: &Server| near(s.id).filter(|w| w.failed.is_some_and(since)).count();
+            let failed = there.iter().filter(|s| mine(s) || theirs(s) > 0).count();
+            // One front of the zone that makes it up must not be enough.
+            let met = there.iter().any(|s| mine(s) || theirs(s) >= SEVERAL);
+            let least = ((there.len() as f64 * LOST).ceil() as usize).max(LOST_LEAST);
+            let links: f64 = there.iter().map(|s| s.link).sum();
+            met && failed >= least && links <= all * ZONE_LINKS
         };
-        let mut lost = zones.iter().filter(|(zone, z)| dark(z) && met(**zone)).map(|(zone, _)| *zone);
+        let mut lost = zones.iter().filter(|(_, there)| dark(there)).map(|(zone, _)| *zone);
         let first = lost.next().filter(|_| lost.next().is_none())?;
-        zones.iter().any(|(zone, z)| *zone != first && z.2 > 0).then_some(first)
+        let others = zones.iter().filter(|(zone, _)| **zone != first);
+        others.map(|(_, there)| served(there)).any(f64::is_finite).then_some(first)
     }
 }
--- a/crates/shared/tests/beliefs.rs
+++ b/crates/shared/tests/beliefs.rs
@@ -127,7 +127,7 @@
 #[test]
 fn a_row_with_more_outcomes_than_tries_is_no_word() {
     // As a row of one server with 0 tries and 9 time-outs.
-    let row: &[u8] = &[1, 2, 0, 0, 0, 9, 0];
+    let row: &[u8] = &[1, 2, 0, 0, 0, 9, 0, 0, 0];
     let heard = |i| Heard {
         origin: i,
         incarnation: 1,
--- a/crates/whatif/src/report.rs
+++ b/crates/whatif/src/report.rs
@@ -5,7 +5,7 @@
 
 /// Standard errors to either side of a 90% interval.
 const NINETY: f64 = 1.645;
-/// Standard errors by which a server must be slower than the others to be named: chance names one of 36 in one reading
+/// Standard errors by which a server must be slower than the others to be named, and an alternative better: chance names one of 36 in one reading
 /// of twenty.
 const NAMED: f64 = 3.0;
 /// Fewer say nothing; nor do sums of which more than this part was given up.
@@ -146,7 +146,8 @@
     let whole = sums.whole(of);
     let because = silent(&over, f64::from(whole.n), f64::from(whole.given_up));
     let policies = policies(&over, &whole);
-    let sure = |p: &&OfPolicy| p.gain.is_some_and(|gain| gain.high < 0.0);
+    let sure =
+        |p: &&OfPolicy| p.gain.is_some_and(|gain| gain.mean + (gain.high - gain.mean) * NAMED / NINETY < 0.0);
     let gain = |p: &&OfPolicy| p.gain.map_or(0.0, |gain| gain.mean);
     let better = policies.iter().filter(sure).min_by(|a, b| gain(a).total_cmp(&gain(b)));
     Report {
--- /dev/null
+++ b/examples/sharing-day.jsonnet
@@ -0,0 +1,15 @@
+// The bad day with fronts that share what they know, over an exchange that is bad as well: lossy, split, deaf on one side.
+// Play it with `pulleystair-lab day examples/sharing-day.jsonnet`, and ask a front while it runs with
+// `pulleystair-edge drift found/day/front-0.json`.
+local day = import 'bad-day.jsonnet';
+local trouble(kind, at, length, part=0, size=1) =
+  { kind: kind, at_s: at, length_s: length, part: part, size: size };
+
+day {
+  sharing: { lend_ms: 2000, unheard_ms: 3000 },
+  troubles+: [
+    trouble('exchange_loss', 5, 8, size=0.3),
+    trouble('exchange_split', 18, 8, part=0.34),
+    trouble('exchange_deaf', 32, 6, part=0.34),
+  ],
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,16 @@
 
 use std::collections::BTreeMap;
 
+/// The text of the decisions that this program was built with, for a digest of it.
+pub const POLICY: [&str; 6] = [
+    include_str!("logic/mod.rs"),
+    include_str!("logic/placing.rs"),
+    include_str!("logic/facts.rs"),
+    include_str!("logic/room.rs"),
+    include_str!("logic/pace.rs"),
+    include_str!("logic/rungs.rs"),
+];
+
 /// What the operators hand over at start: flat names such as `products.0.importance`.
 pub type CallSheet = BTreeMap<String, Value>;
 
--- a/src/logic/facts.rs
+++ b/src/logic/facts.rs
@@ -41,17 +41,18 @@
         }
     }
 
-    /// What other fronts let this one know. A wait for a server's pace goes on at the new one: no two
-    /// plays go closer than the parts held meanwhile allow.
+    /// What other fronts let this one know; a wait for a server's pace goes on at the new one.
     pub fn given(&mut self, now: f64, it: &Given) {
         self.know(it.server);
         let before = self.gap(now, it.server);
         let s = &mut self.servers[it.server];
+        let new = it.doubted && !s.hearsay;
         (s.hearsay, s.lent) = (it.doubted, it.pace.max(0.01) - 1.0);
         (s.further_gap, s.probe_gap) = (it.further_gap, it.probe_gap);
-        let slower = self.gap(now, it.server) / before;
+        let gap = self.gap(now, it.server);
+        let first = if new { gap * (self.rank + 1.0) / self.fronts } else { 0.0 };
         let s = &mut self.servers[it.server];
-        s.next_pace = now + (s.next_pace - now).max(0.0) * slower;
+        s.next_pace = now + ((s.next_pace - now).max(0.0) * gap / before).max(first);
     }
 
     /// A server is gone for good: its index may be another's from now on.
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,8 +1,9 @@
-//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts as they
-//! come (`list`, `given`, `take`, `adopt`, `figure`, `left`, ...), and asks three things of it: `place` (where
-//! to send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
-//! it is to be asked about again). `placing` has a play's ordinary path, `facts` what is told and what follows,
-//! `room` links and what they carry, `pace` turns at cold and doubted servers, `rungs` the steps of quality.
+//! All decisions of one front. A caller makes a [`Front`] from its call sheet and seed, tells it facts
+//! (`list`, `given`, `take`, `adopt`, `figure`, `left`, ...), and asks three things of it: `place` (where to
+//! send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
+//! it is to be asked about again). `placing` has a play's ordinary path, `facts` what is told and what
+//! follows, `room` links and what they carry, `pace` turns at cold and doubted servers, `rungs` the steps of
+//! quality.
 
 mod facts;
 mod pace;
--- a/src/logic/pace.rs
+++ b/src/logic/pace.rs
@@ -51,7 +51,8 @@
         let rate = (server.asks.0 / MEMORY).max(lately);
         let asking = if cold { 1.0 - (-rate * warm_up).exp() } else { 0.0 };
         let fronts = (self.fronts * asking).max(server.link.fronts);
-        // What is lent are parts of all fronts, of which only some press.
+        // What is lent are parts of all fronts; what is doubted on hearsay all try as often as one would.
+        let fronts = if server.hearsay { fronts * self.fronts } else { fronts };
         let lent = server.lent.max(0.0) / self.fronts;
         let fronts = if lent > 0.0 { 1.0 / (1.0 / fronts + lent) } else { fronts / (1.0 + server.lent) };
         fronts / (pace * self.rule("rules.overload_factor", 1.0) * PACED)
