--- a/crates/fellow/src/lib.rs
+++ b/crates/fellow/src/lib.rs
@@ -281,7 +281,7 @@
         let Some(chain) = self.chain.as_ref().filter(|_| self.terms.stricter) else { return Vec::new() };
         let word = said::own(&self.terms.exchange.name, self.own_active(wall));
         match judge(chain, wall, &word).0 {
-            Verdict::Adrift | Verdict::Torn => stricter(&self.own_differences(wall)),
+            it if it.wrong() => stricter(&self.own_differences(wall)),
             _ => Vec::new(),
         }
     }
--- a/crates/fellow/src/said.rs
+++ b/crates/fellow/src/said.rs
@@ -131,7 +131,7 @@
             "exchange": {
                 "sent": counts.sent, "sent_bytes": counts.sent_bytes, "taken": counts.taken, "late": counts.late,
                 "long": counts.long, "version": counts.version, "foreign": counts.foreign, "spoilt": counts.spoilt,
-                "ages": counts.ages, "unknown": counts.unknown, "gaps": counts.gaps,
+                "ages": counts.ages, "unknown": counts.unknown, "gaps": counts.gaps, "altered": counts.altered,
                 "held_back": counts.held_back, "claimed": counts.claimed,
             },
         })
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -12,11 +12,13 @@
 
 pub mod message;
 mod row;
+mod view;
 
 use message::{Change, Fault, Known, MOST, Message, Origin};
 use oorandom::Rand32;
-use row::Row;
+use row::{Row, Taken};
 use std::collections::{BTreeMap, VecDeque};
+pub use view::{Counts, Out, Silence, View};
 
 /// Clocks of two fronts run apart by no more than this part; spans that must not be too short are longer by it.
 pub const DRIFT: f64 = 0.01;
@@ -53,65 +55,6 @@
     Alike(String, String),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Silence {
-    Heard,
-    Doubted,
-    Unheard,
-}
-
-/// What came and was not taken, and what was.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    pub sent: u64,
-    pub sent_bytes: u64,
-    pub taken: u64,
-    pub long: u64,
-    pub version: u64,
-    pub foreign: u64,
-    pub spoilt: u64,
-    pub ages: u64,
-    /// From a front, or about one, that is no peer; answers to nothing that was asked lately; rows with a gap.
-    pub unknown: u64,
-    pub late: u64,
-    pub gaps: u64,
-    /// Not sent, as the rate was spent.
-    pub held_back: u64,
-    /// Times that another claimed to be this front.
-    pub claimed: u64,
-}
-
-/// A datagram to a peer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Out {
-    pub to: Origin,
-    pub bytes: Vec<u8>,
-}
-
-/// What is known of a front.
-pub struct View<'a> {
-    pub origin: Origin,
-    pub incarnation: u64,
-    pub version: u64,
-    /// ms that have passed at most since the row was its origin's own; infinite where it was never heard.
-    pub age: f64,
-    pub silence: Silence,
-    /// Two rows of one incarnation and version differed.
-    pub contradictory: bool,
-    row: &'a Row,
-}
-
-impl<'a> View<'a> {
-    pub fn cell(&self, key: u16) -> Option<&'a [u8]> {
-        self.row.cells.get(&key).map(|(_, value)| value.as_slice())
-    }
-
-    /// The cells of keys within a range, by key.
-    pub fn cells(&self, keys: std::ops::Range<u16>) -> impl Iterator<Item = (u16, &'a [u8])> + use<'a> {
-        self.row.cells.range(keys).map(|(key, (_, value))| (*key, value.as_slice()))
-    }
-}
-
 pub fn origin_of(name: &str) -> Origin {
     crc32c::crc32c(name.as_bytes())
 }
@@ -148,7 +91,7 @@
             }
         }
         let mut rows: BTreeMap<Origin, Row> = names.keys().map(|o| (*o, Row::default())).collect();
-        rows.insert(own, Row { incarnation, as_of: f64::INFINITY, whole: true, ..Row::default() });
+        rows.insert(own, Row { incarnation, as_of: f64::INFINITY, ..Row::default() });
         Ok(Gossip {
             fleet: crc32c::crc32c(terms.fleet.as_bytes()),
             own,
@@ -206,7 +149,8 @@
             _ if age > self.terms.doubted => Silence::Doubted,
             _ => Silence::Heard,
         };
-        let Row { incarnation, version, contradictory, .. } = *row;
+        let contradictory = now < row.contradicted + self.terms.unheard;
+        let Row { incarnation, version, .. } = *row;
         View { origin, incarnation, version, age, silence, contradictory, row }
     }
 
@@ -230,7 +174,7 @@
             if self.asked.len() > ASKED.max(4 * self.terms.fan_out) {
                 self.asked.pop_front();
             }
-            let known = self.told_of().into_iter().map(|o| self.rows[&o].known(now, o)).collect();
+            let known = self.told_of().into_iter().map(|o| self.rows[&o].had(now, o)).collect();
             let it = Message {
                 from: self.own,
                 nonce: self.nonce,
@@ -327,17 +271,18 @@
             self.counts.unknown += 1;
             return;
         };
-        if !row.take(now, change) {
-            self.counts.gaps += 1;
+        match row.take(now, change) {
+            Taken::Yes | Taken::Old => row.vouched(now, asked, known),
+            Taken::Gap => self.counts.gaps += 1,
+            Taken::Altered => self.counts.altered += 1,
         }
-        row.vouched(asked, known);
     }
 
-    fn vouched(&mut self, _now: f64, asked: f64, known: &Known) {
+    fn vouched(&mut self, now: f64, asked: f64, known: &Known) {
         if known.origin == self.own {
             self.claimed(known);
         } else if let Some(row) = self.rows.get_mut(&known.origin) {
-            row.vouched(asked, known);
+            row.vouched(now, asked, known);
         }
     }
 
@@ -375,7 +320,7 @@
             }
             if older && first {
                 answers[0].asks = true;
-                answers[0].known.push(ours);
+                answers[0].known.push(row.had(now, theirs.origin));
             }
             let younger =
                 ours.age.is_some_and(|age| theirs.age.is_none_or(|t| f64::from(t) > f64::from(age)));
--- a/crates/gossip/src/row.rs
+++ b/crates/gossip/src/row.rs
@@ -1,4 +1,5 @@
-//! A front's row as it is known here.
+//! A front's row as it is known here. What came is taken into it only once it is whole and its checksum holds, so that a
+//! reader never sees half of a change, or one that was altered on its way.
 
 use crate::DRIFT;
 use crate::message::{Cell, Change, Known, MOST, Message, Origin};
@@ -11,16 +12,31 @@
     pub(crate) incarnation: u64,
     pub(crate) version: u64,
     pub(crate) cells: BTreeMap<u16, (u64, Vec<u8>)>,
-    /// Checksum over all cells, in no order; says something only where the row is whole.
+    /// Checksum over all cells, in no order.
     pub(crate) sum: u32,
-    pub(crate) whole: bool,
-    pub(crate) contradictory: bool,
+    /// Parts of a change that is not whole yet, and up to which version they go.
+    pub(crate) staged: BTreeMap<u16, (u64, Vec<u8>)>,
+    pub(crate) upto: u64,
+    /// When another row of this incarnation and version was last met.
+    pub(crate) contradicted: f64,
     /// On this front's clock: the row was its origin's own then, or later.
     pub(crate) as_of: f64,
     /// When it last changed here.
     pub(crate) changed: f64,
 }
 
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    Yes,
+    /// It is of an incarnation that is past.
+    Old,
+    /// Something before it is missing.
+    Gap,
+    /// It does not come to what its checksum says.
+    Altered,
+}
+
 impl Default for Row {
     fn default() -> Row {
         Row {
@@ -28,8 +44,9 @@
             version: 0,
             cells: BTreeMap::new(),
             sum: 0,
-            whole: false,
-            contradictory: false,
+            staged: BTreeMap::new(),
+            upto: 0,
+            contradicted: f64::NEG_INFINITY,
             as_of: f64::NEG_INFINITY,
             changed: f64::NEG_INFINITY,
         }
@@ -54,6 +71,7 @@
         (now - self.as_of).max(0.0) * (1.0 + 2.0 * DRIFT)
     }
 
+    /// How far it is known here, for whoever wants to know it.
     pub(crate) fn known(&self, now: f64, origin: Origin) -> Known {
         let age = self.age(now);
         Known {
@@ -61,48 +79,74 @@
             incarnation: self.incarnation,
             version: self.version,
             age: age.is_finite().then_some(age.ceil() as u32),
-            sum: self.whole.then_some(self.sum),
+            sum: Some(self.sum),
+        }
+    }
+
+    /// The same for whoever is asked for the rest: parts that have come count.
+    pub(crate) fn had(&self, now: f64, origin: Origin) -> Known {
+        let known = self.known(now, origin);
+        if self.staged.is_empty() {
+            known
+        } else {
+            Known { version: self.upto, age: None, sum: None, ..known }
         }
     }
 
-    /// Takes a change; false where something between is missing.
-    pub(crate) fn take(&mut self, now: f64, change: &Change) -> bool {
+    pub(crate) fn take(&mut self, now: f64, change: &Change) -> Taken {
         let known = &change.known;
         if known.incarnation < self.incarnation {
-            return true;
+            return Taken::Old;
         }
         if known.incarnation > self.incarnation {
             if change.from > 0 {
-                return false;
+                return Taken::Gap;
             }
             *self = Row { incarnation: known.incarnation, ..Row::default() };
         }
-        if change.from > self.version {
-            return false;
+        if change.from > self.version.max(self.upto) {
+            return Taken::Gap;
         }
         for Cell { key, version, value } in &change.cells {
-            if *version > self.version && self.cells.get(key).is_none_or(|(v, _)| v < version) {
-                self.set(*key, *version, value.clone());
+            let had = self.staged.get(key).or(self.cells.get(key)).map_or(0, |(version, _)| *version);
+            if *version > had.max(self.version) {
+                self.staged.insert(*key, (*version, value.clone()));
             }
         }
-        if known.version > self.version {
-            (self.version, self.changed) = (known.version, now);
-            self.whole = known.sum == Some(self.sum);
-            self.contradictory |= known.sum.is_some() && !self.whole;
+        self.upto = self.upto.max(known.version);
+        let Some(sum) = known.sum.filter(|_| known.version >= self.upto) else { return Taken::Yes };
+        if known.version <= self.version {
+            return Taken::Yes;
         }
-        true
+        let mut now_sum = self.sum;
+        for (key, (version, value)) in &self.staged {
+            now_sum ^= sum_of(*key, *version, value);
+            now_sum ^= self.cells.get(key).map_or(0, |(version, was)| sum_of(*key, *version, was));
+        }
+        if now_sum != sum {
+            // None of its parts is to be trusted: all is asked for again, from what is held.
+            self.staged.clear();
+            (self.upto, self.contradicted) = (self.version, now);
+            return Taken::Altered;
+        }
+        for (key, (version, value)) in std::mem::take(&mut self.staged) {
+            self.set(key, version, value);
+        }
+        (self.version, self.changed) = (known.version, now);
+        Taken::Yes
     }
 
     /// Somebody who was asked then knows the row as far as we do, so old at most.
-    pub(crate) fn vouched(&mut self, asked: f64, known: &Known) {
+    pub(crate) fn vouched(&mut self, now: f64, asked: f64, known: &Known) {
         if (known.incarnation, known.version) != (self.incarnation, self.version) || known.incarnation == 0 {
             return;
         }
-        if let (Some(theirs), true) = (known.sum, self.whole) {
-            self.contradictory |= theirs != self.sum;
-        }
-        if let Some(age) = known.age {
-            self.as_of = self.as_of.max(asked - f64::from(age));
+        match known.sum {
+            Some(sum) if sum != self.sum => self.contradicted = now,
+            Some(_) => {
+                self.as_of = known.age.map_or(self.as_of, |age| self.as_of.max(asked - f64::from(age)))
+            }
+            None => {}
         }
     }
 
--- a/crates/gossip/tests/exchange.rs
+++ b/crates/gossip/tests/exchange.rs
@@ -112,18 +112,19 @@
 #[test]
 fn a_row_that_has_come_in_part_is_not_current() {
     let mut net = Network::new(2, 12, BAD);
-    let mut parts = 0;
+    let mut waited = 0;
     for part in 0..40 {
         net.fronts[1].put(part, vec![part as u8; 900]);
     }
     net.run(6_000.0, |net| {
         let row = net.fronts[0].front(net.now, origin_of(&name(1))).expect("it is a peer");
         let come = row.cells(0..40).count();
-        parts += usize::from(0 < come && come < 40);
+        waited += usize::from(come == 0);
+        assert!(come == 0 || come == 40, "{come} cells");
         assert!(row.age.is_infinite() || come == 40, "{come} cells, {} old", row.age);
     });
     assert!(
-        parts > 0 && net.fronts[0].front(net.now, origin_of(&name(1))).is_some_and(|row| row.age < 2_000.0)
+        waited > 0 && net.fronts[0].front(net.now, origin_of(&name(1))).is_some_and(|row| row.age < 2_000.0)
     );
 }
 
@@ -167,6 +168,10 @@
         net.fronts[0].came(net.now, &answer.bytes);
     }
     assert!(net.fronts[0].front(net.now, origin_of(&name(1))).expect("it is").contradictory);
+    // The twin is gone for good: what it said is over after a while.
+    net.run(6_000.0, |_| {});
+    assert!(!net.fronts[0].front(net.now, origin_of(&name(1))).expect("it is").contradictory);
+    assert_eq!(value(&net.fronts[0], net.now, 1), Some(b"one".to_vec()));
 }
 
 fn question() -> (Network, Vec<u8>) {
