Every message of a run changed one at a time; parts of two states are not mixed

Found and mended at its cause: (1) rows: after a field of an unrelated viewer's message was changed, front 2 called front 1 contradictory. Trace: a part of version 92's row was taken ('from 79 to 85, cells 256@80 2048@84 2049@85', cell 512 being at 91), then the rest of version 90's ('from 86 to 90'), in which 512 is at 81: of neither state, so the checksum failed. A change now says which version it is a part of (message.rs of, row.rs), story parts_of_two_states_are_not_mixed fails without. (2) rows: a row whose held base was wrong failed each later checksum and was asked for from that base for ever; it is now asked for whole. (3) names: a spoilt serial made every later list an older one for good; one that claims more than 65,536 events since the last is not taken (names::follows, used by the node).

--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -56,6 +56,8 @@
 pub struct Change {
     pub known: Known,
     pub from: u64,
+    /// The version of the row that it was taken from: a part lacks what changed up to there.
+    pub of: u64,
     pub cells: Vec<Cell>,
 }
 
@@ -120,6 +122,6 @@
     /// Its cells' versions lie where it says.
     fn is_sound(&self) -> bool {
         let within = |c: &Cell| self.from < c.version && c.version <= self.known.version;
-        self.from <= self.known.version && self.cells.iter().all(within)
+        self.from <= self.known.version && self.known.version <= self.of && self.cells.iter().all(within)
     }
 }
--- a/crates/gossip/src/row.rs
+++ b/crates/gossip/src/row.rs
@@ -17,6 +17,8 @@
     /// Parts of a change that is not whole yet, and up to which version they go.
     pub(crate) staged: BTreeMap<u16, (u64, Vec<u8>)>,
     pub(crate) upto: u64,
+    /// The version of the row that they are parts of: one of an older state would not make them whole.
+    pub(crate) of: u64,
     /// When another row of this incarnation and version was last met.
     pub(crate) contradicted: f64,
     /// On this front's clock: the row was its origin's own then, or later.
@@ -46,6 +48,7 @@
             sum: 0,
             staged: BTreeMap::new(),
             upto: 0,
+            of: 0,
             contradicted: f64::NEG_INFINITY,
             as_of: f64::NEG_INFINITY,
             changed: f64::NEG_INFINITY,
@@ -114,7 +117,8 @@
             }
         }
         self.upto = self.upto.max(known.version);
-        let Some(sum) = known.sum.filter(|_| known.version >= self.upto) else { return Taken::Yes };
+        self.of = self.of.max(change.of);
+        let Some(sum) = known.sum.filter(|_| known.version >= self.of) else { return Taken::Yes };
         if known.version <= self.version {
             return Taken::Yes;
         }
@@ -124,9 +128,7 @@
             now_sum ^= self.cells.get(key).map_or(0, |(version, was)| sum_of(*key, *version, was));
         }
         if now_sum != sum {
-            // None of its parts is to be trusted: all is asked for again, from what is held.
-            self.staged.clear();
-            (self.upto, self.contradicted) = (self.version, now);
+            self.distrust(now);
             return Taken::Altered;
         }
         for (key, (version, value)) in std::mem::take(&mut self.staged) {
@@ -136,13 +138,18 @@
         Taken::Yes
     }
 
+    /// What came, or what is held, is not its origin's: nobody can say which, so all of it is asked for again.
+    fn distrust(&mut self, now: f64) {
+        *self = Row { incarnation: self.incarnation, contradicted: now, changed: now, ..Row::default() };
+    }
+
     /// Somebody who was asked then knows the row as far as we do, so old at most.
     pub(crate) fn vouched(&mut self, now: f64, asked: f64, known: &Known) {
         if (known.incarnation, known.version) != (self.incarnation, self.version) || known.incarnation == 0 {
             return;
         }
         match known.sum {
-            Some(sum) if sum != self.sum => self.contradicted = now,
+            Some(sum) if sum != self.sum => self.distrust(now),
             Some(_) => {
                 self.as_of = known.age.map_or(self.as_of, |age| self.as_of.max(asked - f64::from(age)))
             }
@@ -183,7 +190,7 @@
             // A part is not current, so it vouches for nothing.
             let known = if whole { known } else { Known { version: to, age: None, sum: None, ..known } };
             if let Some(last) = answers.last_mut() {
-                last.changes.push(Change { known, from, cells: part });
+                last.changes.push(Change { known, from, of: self.version, cells: part });
             }
             if whole {
                 return;
--- a/crates/gossip/tests/exchange.rs
+++ b/crates/gossip/tests/exchange.rs
@@ -128,6 +128,43 @@
     );
 }
 
+/// Front 2 hears a part of the newest state of front 1's row, and the rest from front 0, which is one change behind. The
+/// two are of no state, and no word of it is to be believed; nor is it a contradiction.
+#[test]
+fn parts_of_two_states_are_not_mixed() {
+    let mut net = Network::new(3, 13, Faults::default());
+    assert!((0..8).all(|key| net.fronts[1].put(key, vec![1; 900])));
+    net.open = |from, to| from != 2 && to != 2;
+    net.run(5_000.0, |_| {});
+    net.fronts[1].put(0, vec![2; 900]);
+    let answers = |net: &mut Network, of: usize| loop {
+        net.now = net.now.max(net.fronts[2].due());
+        let now = net.now;
+        let asked = net.fronts[2].round(now).into_iter().find(|out| out.to == origin_of(&name(of)));
+        if let Some(asked) = asked {
+            return net.fronts[of].came(now, &asked.bytes);
+        }
+    };
+    let part = answers(&mut net, 1).remove(1);
+    let first = answers(&mut net, 1).remove(0);
+    let now = net.now;
+    net.fronts[2].came(now, &first.bytes);
+    net.fronts[2].came(now, &part.bytes);
+    for _ in 0..3 {
+        for rest in answers(&mut net, 0) {
+            let now = net.now;
+            net.fronts[2].came(now, &rest.bytes);
+        }
+    }
+    let now = net.now;
+    let row = net.fronts[2].front(now, origin_of(&name(1))).expect("it is a peer");
+    assert!(row.cells(0..8).count() == 0 && !row.contradictory && row.age.is_infinite());
+    net.open = |_, _| true;
+    net.run(2_000.0, |_| {});
+    let row = net.fronts[2].front(net.now, origin_of(&name(1))).expect("it is a peer");
+    assert_eq!((row.cells(0..8).count(), row.cell(0).map(|c| c[0])), (8, Some(2)));
+}
+
 /// An answer that leaves a part out is not taken: what it brings would stand in for what it lacks.
 #[test]
 fn a_change_with_a_gap_before_it_is_not_taken() {
@@ -143,6 +180,7 @@
     let change = &mut it.changes[0];
     change.from += 5;
     change.known.version += 5;
+    change.of += 5;
     change.cells[0].version += 5;
     net.fronts[0].came(now, &it.write(fleet));
     let row = net.fronts[0].front(now, origin_of(&name(1))).expect("it is a peer");
--- /dev/null
+++ b/crates/mutated/src/lib.rs
@@ -0,0 +1,66 @@
+//! A recorded run of a small fleet, replayed against the real code with exactly one message changed.
+//!
+//! [`world`] plays three fronts, each the real desk, decisions, fellow and codecs, four servers, their viewers and the name
+//! service in simulated time from one seed: everything that comes in to a front comes as bytes. [`Change`] says which
+//! message is changed, and how; [`fields`] how a field of each kind of message is set. What must hold after it is judged by
+//! [`world::Outcome`].
+
+pub mod fields;
+pub mod inbox;
+pub mod world;
+
+/// What kind of message comes in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// A viewer's binary message.
+    Signal,
+    /// A media server's RTSP message, or the head of its HTTP answer.
+    Rtsp,
+    Http,
+    /// The list.
+    Names,
+    /// A datagram of another front.
+    Row,
+}
+
+/// What a field is set to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum To {
+    Least,
+    Greatest,
+    /// What it is in the message of this kind before.
+    Neighbours,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Dropped,
+    Doubled,
+    /// By so many ms.
+    Late(u32),
+    /// Comes after the next to the same front.
+    Swapped,
+    /// At so many eighths of its length.
+    Cut(usize),
+    /// One bit, at so many 1/64 of its length.
+    Bit(usize),
+    Field(usize, To),
+}
+
+/// The message by its number in the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    pub at: usize,
+    pub how: How,
+}
+
+/// All changes of a message.
+pub fn changes(at: usize, kind: Kind, bytes: &[u8]) -> Vec<Change> {
+    let mut out = vec![How::Dropped, How::Doubled, How::Late(40), How::Late(700), How::Swapped];
+    out.extend([1, 4, 7].map(How::Cut));
+    out.extend([0, 9, 23, 41, 63].map(How::Bit));
+    for field in 0..fields::count(kind, bytes) {
+        out.extend([To::Least, To::Greatest, To::Neighbours].map(|to| How::Field(field, to)));
+    }
+    out.into_iter().map(|how| Change { at, how }).collect()
+}
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -116,6 +116,15 @@
     Incomplete(String),
 }
 
+/// So many events may have come since the last that is known, at most; a serial that says more is a spoilt one, which would
+/// make every later list an older one.
+const EVENTS: u32 = 1 << 16;
+
+/// Whether an answer of this serial is newer than what is known.
+pub fn follows(rev: Option<u32>, serial: u32) -> bool {
+    rev.is_none_or(|rev| serial > rev && serial - rev <= EVENTS)
+}
+
 /// The question for the whole list, under an id that its answer is to have.
 pub fn question(id: u16) -> Vec<u8> {
     let mut packet = Packet::new_query(id);
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -120,7 +120,7 @@
                 }
                 Ok((serial, list)) => {
                     asking.faults = 0;
-                    let newer = asking.rev.is_none_or(|rev| serial > rev);
+                    let newer = names::follows(asking.rev, serial);
                     let same = asking.rev == Some(serial);
                     // The list of the start is vouched for by the first answer that is not older.
                     if newer || same && !asking.heard {
