--- /dev/null
+++ b/crates/edge/tests/peers/process.rs
@@ -0,0 +1,132 @@
+//! The node's process, and what it is given at start.
+
+use super::*;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
+
+pub struct Node {
+    pub(super) child: Child,
+    pub at: SocketAddr,
+    pub log: Arc<Mutex<String>>,
+    pub(super) lines: mpsc::Receiver<String>,
+    pub(super) folder: tempfile::TempDir,
+}
+
+fn settings(other: &str) -> String {
+    let class = r#"{"name":"paid","aimUs":2000000,"giveUpUs":3000000,"effect":"read_like","worth":1.0}"#;
+    let free = class.replace("paid", "free");
+    format!(
+        r#"{{"balancers":1,"rank":0,"zone":0,"failureDomains":["east"],"kinds":["std"],"lanes":[{class},{free}],
+        "ceilings":{{"attemptsCap":4,"dialTimeoutUs":250000,"idleCloseUs":30000000,"maxRetryAfterUs":500000,
+        "retryAfter":true,"probes":false,"streamsPerConn":100,"cancel":true}},
+        "extra":{{"places":2,"cabinets":1,"ladderKb":[100.0,200.0],"rungWorth":[0.5,1.0],"classFloor":[0,0],
+        "classScale":[1.0,1.0],"topByClass":[5,5],"fleetKb":80000.0,"rackLinkKb":80000.0,"linkUnitKb":10000.0,
+        "placesByKind":[1000.0],"seenAfterUs":500000,"reportsEveryUs":{other},"stallCost":7.0,"changeCostsS":0.5}},
+        "loadInfo":{{"how":"inline","columns":["utilization","x1"]}},
+        "rules":{{"coldUs":0,"coldFrom":0.5,"overloadFactor":2.5,"drainGraceUs":500000}}}}"#
+    )
+}
+
+impl Node {
+    pub fn posting(names: SocketAddr, hosts: &[&Host], sockets: usize, tells_us: u64) -> String {
+        let mut servers = String::new();
+        for (i, host) in hosts.iter().enumerate() {
+            let comma = if i > 0 { "," } else { "" };
+            let _ = write!(
+                servers,
+                r#"{comma}{{"id":"{}","addr":"{}","zone":"east","kind":"std","cell":{},"state":"in_service","weight":4,"started_ms":0}}"#,
+                host.id, host.at, host.cell
+            );
+        }
+        let settings = settings(&tells_us.to_string());
+        format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},"resolver":"{names}",
+            "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"version":1,"full":true,"servers":[{servers}]}}}}]}},
+            "settings":{settings}}}"#
+        )
+    }
+
+    pub fn start(posting: &str) -> Node {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, posting).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_pulleystair-edge"))
+            .args(["--level", "info,belief=debug", "node"])
+            .env("PROXY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (tx, lines) = mpsc::channel();
+        let (err, kept) = (child.stderr.take().expect("its log"), log.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(err).lines().map_while(Result::ok) {
+                kept.lock().expect("the log").push_str(&format!("{line}\n"));
+                let _ = tx.send(line);
+            }
+        });
+        let mut node = Node { child, at: ([127, 0, 0, 1], 0).into(), log, lines, folder };
+        let line = node.logs("listens");
+        let at = line.split("at=").nth(1).and_then(|rest| rest.split(' ').next()).expect("an address");
+        node.at = at.parse().expect("an address");
+        node
+    }
+
+    /// The next line of the log with this in it.
+    pub fn logs(&self, what: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let line = self.lines.recv_timeout(until.saturating_duration_since(Instant::now()));
+            let line =
+                line.unwrap_or_else(|_| panic!("no line {what:?}: {}", self.log.lock().expect("the log")));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn viewer(&self) -> Viewer {
+        let stream = TcpStream::connect(self.at).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+        stream.set_nodelay(true).expect("so");
+        Viewer { stream }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(status.expect("kill").success());
+    }
+
+    pub fn rewrite(&self, posting: &str) {
+        std::fs::write(self.folder.path().join("config.json"), posting).expect("a file");
+    }
+
+    pub fn memory_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find(|l| l.starts_with("VmRSS")).expect("its memory");
+        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("kB")
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let since = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its status") {
+                return status;
+            }
+            assert!(since.elapsed() < PATIENCE, "it ends");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/mutated/src/front.rs
+++ b/crates/mutated/src/front.rs
@@ -177,7 +177,8 @@
         desk: Desk::new(sheet(rank), seed * 10 + rank as u64),
         fellow,
         sessions: BTreeMap::new(),
-        rev: None,
+        // Its file of the start, as a node has it.
+        rev: Some(0),
         asked: VecDeque::new(),
         lines: [0; SERVERS],
         drawn: Vec::new(),
