--- a/crates/fuzzed/src/lib.rs
+++ b/crates/fuzzed/src/lib.rs
@@ -6,6 +6,7 @@
 use pulleystair_dash::mpd;
 use pulleystair_dash::token::{Fault, LONGEST, Ring};
 use pulleystair_edge::http::{self, Body, Chunks};
+use pulleystair_gossip as gossip;
 use pulleystair_names as names;
 use pulleystair_rtsp as rtsp;
 use pulleystair_signal as signal;
@@ -202,3 +203,27 @@
         assert!(!entry.id.is_empty() && entry.weight.is_finite() && entry.started.is_finite(), "{entry:?}");
     }
 }
+
+/// A datagram between fronts that reads is written as it was; whatever comes, a front answers within its bounds, and says
+/// of nobody that it was heard.
+pub fn row(bytes: &[u8]) {
+    let fleet = bytes.get(1..5).and_then(|b| b.try_into().ok()).map_or(0, u32::from_be_bytes);
+    if let Ok(it) = gossip::message::Message::read(bytes, fleet) {
+        assert_eq!(gossip::message::Message::read(&it.write(fleet), fleet), Ok(it));
+    }
+    let terms = gossip::Terms {
+        fleet: "mutated".into(),
+        name: "f0".into(),
+        peers: vec!["f1".into(), "f2".into()],
+        every: 200.0,
+        fan_out: 2,
+        bytes_s: 64_000.0,
+        doubted: 1_000.0,
+        unheard: 2_000.0,
+    };
+    let mut front = gossip::Gossip::new(terms, 0.0, 1_000, 7).expect("three names");
+    front.put(1, vec![7; 500]);
+    let answers = front.came(1.0, bytes);
+    assert!(answers.len() <= 4 && answers.iter().all(|a| a.bytes.len() <= gossip::message::MOST));
+    assert!(front.fronts(1.0).all(|f| f.origin == front.own() || f.age.is_infinite()), "nothing was asked");
+}
--- a/crates/fuzzed/tests/codecs.rs
+++ b/crates/fuzzed/tests/codecs.rs
@@ -1,4 +1,4 @@
-//! The platform's three codecs, on bytes that are drawn and on good messages that are spoilt in places.
+//! The platform's three codecs and the exchange, on bytes that are drawn and on good messages that are spoilt in places.
 
 use proptest::prelude::*;
 use std::path::Path;
@@ -33,6 +33,12 @@
         pulleystair_fuzzed::signal(&bytes);
         pulleystair_fuzzed::rtsp(&bytes);
         pulleystair_fuzzed::names(&bytes);
+        pulleystair_fuzzed::row(&bytes);
+    }
+
+    #[test]
+    fn spoilt_datagrams_between_fronts(bytes in spoilt("row")) {
+        pulleystair_fuzzed::row(&bytes);
     }
 
     #[test]
--- a/crates/fuzzed/tests/corpora.rs
+++ b/crates/fuzzed/tests/corpora.rs
@@ -10,6 +10,7 @@
 #[test_case("signal", pulleystair_fuzzed::signal; "viewers' messages")]
 #[test_case("rtsp", pulleystair_fuzzed::rtsp; "media servers' messages")]
 #[test_case("names", pulleystair_fuzzed::names; "the name service's answers")]
+#[test_case("row", pulleystair_fuzzed::row; "datagrams between fronts")]
 fn nothing_kept_in_a_corpus_breaks_anything(name: &str, holds: fn(&[u8])) {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../fuzz/corpus").join(name);
     let mut count = 0;
--- a/crates/mutated/src/fields.rs
+++ b/crates/mutated/src/fields.rs
@@ -39,9 +39,9 @@
 
 pub fn count(kind: Kind, bytes: &[u8]) -> usize {
     match kind {
-        // Its session, then its parameters.
+        // Its session, length and type, then its parameters.
         Kind::Signal => match Message::read(bytes) {
-            Ok(Some((message, _))) => 1 + message.parameters().count(),
+            Ok(Some((message, _))) => 3 + message.parameters().count(),
             _ => 0,
         },
         Kind::Rtsp | Kind::Http => values(bytes).len(),
@@ -79,14 +79,20 @@
     let (message, _) = Message::read(bytes).ok()??;
     let other = before.and_then(|b| Message::read(b).ok()?).map(|m| m.0);
     let mut parameters: Vec<(u8, &[u8])> = message.parameters().map_while(Result::ok).collect();
-    let mut session = message.session;
-    if field == 0 {
-        session = pick(to, 0, u64::MAX, other.map(|o| o.session))?;
-    } else {
-        let (code, value) = parameters.get_mut(field - 1)?;
-        *value = pick(to, &b"0"[..], GREATEST.as_bytes(), other.and_then(|o| o.get(*code)))?;
+    let (mut session, mut kind) = (message.session, message.kind);
+    match field {
+        0 => session = pick(to, 0, u64::MAX, other.map(|o| o.session))?,
+        1 => {
+            let length = pick(to, [0, 0], [0xff, 0xff], before.and_then(|b| b.first_chunk()).copied())?;
+            return Some([&length, &bytes[2..]].concat());
+        }
+        2 => kind = pick(to, 0, u8::MAX, other.map(|o| o.kind))?,
+        _ => {
+            let (code, value) = parameters.get_mut(field - 3)?;
+            *value = pick(to, &b"0"[..], GREATEST.as_bytes(), other.and_then(|o| o.get(*code)))?;
+        }
     }
-    signal::write(message.kind, session, &parameters)
+    signal::write(kind, session, &parameters)
 }
 
 fn set_text(bytes: &[u8], field: usize, to: To, before: Option<&[u8]>) -> Option<Vec<u8>> {
--- a/crates/mutated/src/post.rs
+++ b/crates/mutated/src/post.rs
@@ -314,7 +314,7 @@
         let there = there.filter(|s| s.at.is_some_and(|at| at.0 == server)).count() as f64;
         let (wait, status) = match dice {
             _ if there > STREAMS => (2.0, 453),
-            _ if dice < 0.04 => (3.0, 500),
+            _ if dice < 0.08 => (3.0, 500),
             _ => (15.0 + 60.0 * dice, 200),
         };
         let mail = if f == BY_HTTP {
--- /dev/null
+++ b/fuzz/fuzz_targets/row.rs
@@ -0,0 +1,3 @@
+#![no_main]
+
+libfuzzer_sys::fuzz_target!(|bytes: &[u8]| pulleystair_fuzzed::row(bytes));
