--- a/crates/edge/tests/rollout.rs
+++ b/crates/edge/tests/rollout.rs
@@ -80,11 +80,13 @@
 
 /// Waits until a front says these of all.
 async fn says(house: &House, by: usize, verdicts: &[&str]) {
+    let since = std::time::Instant::now();
     until(&format!("front {by} says {verdicts:?}"), || {
         let it = told(house, by);
         (0..verdicts.len()).all(|f| verdict(&it, f) == verdicts[f])
     })
     .await;
+    println!("{:?} until front {by} said {verdicts:?}", since.elapsed());
 }
 
 fn drift(house: &House, front: usize, more: &[&str]) -> Output {
