--- a/crates/edge/tests/company/mod.rs
+++ b/crates/edge/tests/company/mod.rs
@@ -19,6 +19,12 @@
 /// No event of these stories takes longer on any machine; it bounds a hang.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Fleets of processes run one after the other, so that none is slow for want of a core.
+pub async fn alone() -> tokio::sync::MutexGuard<'static, ()> {
+    static FLEET: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+    FLEET.lock().await
+}
+
 /// A day of so many fronts that share and so many servers, all of one zone, with titles of four holders.
 pub fn sharing(fronts: usize, servers: usize) -> Value {
     let mut day = house::day();
--- a/crates/edge/tests/many.rs
+++ b/crates/edge/tests/many.rs
@@ -65,6 +65,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_cold_server_gets_no_more_than_the_whole_whatever_befalls_the_exchange() {
+    let _alone = company::alone().await;
     let mut day = sharing(8, 1);
     day["sharing"]["lend_ms"] = json!(1_200);
     day["fleet"]["streams"] = json!(STREAMS);
@@ -122,6 +123,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_server_that_fails_at_two_fronts_only_is_doubted_by_no_other() {
+    let _alone = company::alone().await;
     let stalled = stalls();
     let house = House::some(sharing(5, 4), edge(), 5, |set, folder| {
         (0..2).for_each(|front| company::cut(set, folder, front, &[(0, stalled.at)]));
@@ -142,6 +144,7 @@
 /// say, no more than a quarter of the links, and the first play that is served there takes it back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn three_that_lie_cost_a_part_until_somebody_is_served() {
+    let _alone = company::alone().await;
     let house = House::some(sharing(8, 8), edge(), 5, |_, _| {}).await;
     let liars: Vec<Fake> = (5..8).map(|front| Fake::start(&house, front, "here", Fake::fails_all)).collect();
     acquainted(&house, 5, 0.0).await;
@@ -165,6 +168,7 @@
 /// Zone north can't reach south's servers. North's fronts infer that south is lost to them; south's doubt none.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_zone_that_is_cut_from_the_other_is_lost_to_that_one_alone() {
+    let _alone = company::alone().await;
     let stalled = stalls();
     let mut day = sharing(6, 8);
     day["zones"] = json!(["north", "south"]);
@@ -229,6 +233,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_lost_zone_costs_fewer_time_outs_where_fronts_share() {
+    let _alone = company::alone().await;
     let (alone, together) = (time_outs(false).await, time_outs(true).await);
     println!("time-outs of each front, alone {alone:?}, together {together:?}");
     let (alone, together) = (alone.iter().sum::<usize>(), together.iter().sum::<usize>());
@@ -263,6 +268,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_slower_server_is_named_by_every_front_and_by_none_that_hears_half() {
+    let _alone = company::alone().await;
     let (house, said) = estimates(60.0).await;
     for whatif in &said {
         assert_eq!(slow(whatif), ["m1"], "{whatif}");
@@ -286,6 +292,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_fleet_without_a_difference_says_none() {
+    let _alone = company::alone().await;
     for whatif in estimates(0.0).await.1 {
         assert_eq!((slow(&whatif), &whatif["better"]), (vec![], &Value::Null), "{whatif}");
     }
--- a/crates/edge/tests/rollout.rs
+++ b/crates/edge/tests/rollout.rs
@@ -102,6 +102,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_rollout_with_one_that_missed_it_one_torn_one_old_program_and_one_cut_off() {
+    let _alone = company::alone().await;
     let mut house = fleet(6, 4, false).await;
     // Front 5 is real and started last; front 4 is an older program.
     house.fronts.start(5).await.expect("it starts");
@@ -168,6 +169,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_front_that_is_out_of_step_in_a_rule_goes_by_the_stricter_figure_until_it_is_in_step() {
+    let _alone = company::alone().await;
     let house = fleet(1, 1, true).await;
     let mut strict = sections(house.folder(), 0);
     set(&mut strict, "rules", "drain_grace_ms", json!(300.0));
