One piece tells what an outcome says to the fleet, and what the decisions are told

Cause: the edge and the small world of the mutations each turned outcomes into judgements and set-up times, and what is given into the decisions' form; servers' names were hashed anew at each of ten looks a second; two calls of the fellow had no caller. Change: Fellow::out_no_more and told() serve both; a server's number is kept beside its name; the unused calls are out. Behaviour as it was.

--- a/crates/edge/src/company.rs
+++ b/crates/edge/src/company.rs
@@ -9,7 +9,7 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use pulleystair::{Given, Outcome};
-use pulleystair_fellow::{Candidate, Ended, Exchange, Fellow, Listed, Met, Terms, number_of};
+use pulleystair_fellow::{Candidate, Exchange, Fellow, Listed, Terms, number_of, told};
 use pulleystair_shared::Server;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -129,7 +129,7 @@
 
 impl Floor {
     fn number(&self, server: u32) -> u64 {
-        number_of(self.name(server))
+        self.servers.get(server as usize).map_or(0, |s| s.id)
     }
 
     /// The list as the fellow is told it.
@@ -189,13 +189,8 @@
             .filter_map(|(number, chance, room)| {
                 let server = at(*number)?;
                 let zone = zones.iter().position(|z| *z == server.zone).unwrap_or(0);
-                let server = Candidate {
-                    server: number_of(&server.name),
-                    born: server.born,
-                    zone,
-                    chance: *chance,
-                    room: *room,
-                };
+                let server =
+                    Candidate { server: server.id, born: server.born, zone, chance: *chance, room: *room };
                 Some(server)
             })
             .collect();
@@ -223,21 +218,7 @@
         let (n, waited, id) = (session.allocations() as u32, now - session.sent, self.number(server));
         let wall = self.time_of_day();
         let Some(company) = self.company.as_mut() else { return };
-        let met = match outcome {
-            Outcome::Playing => Some(Met::Success),
-            Outcome::Error => Some(Met::Error),
-            Outcome::TimedOut | Outcome::Broken => Some(Met::TimedOut),
-            Outcome::Unreachable => Some(Met::Refused),
-            Outcome::Full | Outcome::Finished | Outcome::Withdrawn | Outcome::NeverSent => None,
-        };
-        if let Some(met) = met {
-            company.fellow.met(now, id, met);
-        }
-        let how = match outcome {
-            Outcome::Playing => Ended::Playing(waited),
-            _ => Ended::GivenUp(waited),
-        };
-        company.fellow.ledger.ended(wall, play, n, how);
+        company.fellow.out_no_more(now, wall, id, (play, n), outcome, waited);
     }
 }
 
@@ -268,27 +249,16 @@
         let Some(company) = floor.company.as_mut() else { return };
         if now >= company.fellow.due() {
             let numbers: BTreeMap<u64, u32> =
-                floor.server_numbers.iter().map(|(name, n)| (number_of(name), *n)).collect();
-            let id = |n: &u32| floor.servers.get(*n as usize).map(|s| number_of(&s.name));
+                (0..).zip(&floor.servers).map(|(n, server)| (server.id, n)).collect();
+            let id = |n: &u32| floor.servers.get(*n as usize).map(|s| s.id);
             company.fellow.waits(now, self.desk.waited_for().iter().filter_map(id));
             let counts = self.desk.counts();
             let counts = counts.iter().filter_map(|((n, product), c)| Some(((id(n)?, *product as u16), *c)));
             company.fellow.counts(counts.collect());
             let (given, out) = company.fellow.look(now, wall);
             company.send(out);
-            let given: Vec<(u32, Given)> = given
-                .iter()
-                .filter_map(|it| {
-                    let told = Given {
-                        server: 0,
-                        doubted: it.doubted,
-                        pace: it.pace,
-                        further_gap: it.further_gap,
-                        probe_gap: it.probe_gap,
-                    };
-                    Some((*numbers.get(&it.server)?, told))
-                })
-                .collect();
+            let given: Vec<(u32, Given)> =
+                given.iter().filter_map(|it| Some((*numbers.get(&it.server)?, told(it)))).collect();
             company.log_beliefs();
             if !given.is_empty() {
                 debug!(target: "fleet", servers = given.len(), "told of servers");
--- a/crates/edge/src/floor.rs
+++ b/crates/edge/src/floor.rs
@@ -49,6 +49,8 @@
 pub(crate) struct Server {
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
+    /// Its number for all fronts alike.
+    pub(crate) id: u64,
     pub(crate) zone: String,
     /// When its process started, ms since 1970.
     pub(crate) born: u64,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -46,6 +46,7 @@
                 servers.push(Server {
                     name: server.name.clone(),
                     address: server.address,
+                    id: pulleystair_fellow::number_of(&server.name),
                     zone: server.zone.clone(),
                     born: server.started_ms as u64,
                     idle: Vec::new(),
--- a/crates/fellow/src/lib.rs
+++ b/crates/fellow/src/lib.rs
@@ -8,13 +8,14 @@
 mod row;
 mod said;
 
+use pulleystair::Outcome;
 use pulleystair_drift::approved::Chain;
 use pulleystair_drift::detector::{Detector, Fleet};
 use pulleystair_drift::stricter::stricter;
-use pulleystair_drift::verdict::{Verdict, judge};
+use pulleystair_drift::verdict::judge;
 use pulleystair_drift::{Active, Sections, differences};
 use pulleystair_gossip::message::Origin;
-use pulleystair_gossip::{Gossip, Unfit, View, origin_of};
+use pulleystair_gossip::{Gossip, Unfit, View};
 use pulleystair_shared::budgets::{Budgets, Kind, OWN};
 use pulleystair_shared::counts::Counts;
 use pulleystair_shared::judgements::{Belief, Judgements};
@@ -38,6 +39,12 @@
     hasher.finish()
 }
 
+/// What the decisions are told of a server; which one, its host says beside it.
+pub fn told(it: &Given) -> pulleystair::Given {
+    let Given { doubted, pace, further_gap, probe_gap, .. } = *it;
+    pulleystair::Given { server: 0, doubted, pace, further_gap, probe_gap }
+}
+
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub exchange: Exchange,
@@ -164,6 +171,29 @@
         self.judgements.met(now, server, met);
     }
 
+    /// A play's so-many-th allocation, out for so long, plays or is out no more.
+    pub fn out_no_more(
+        &mut self,
+        now: f64,
+        wall: f64,
+        server: u64,
+        (play, n): (u64, u32),
+        outcome: Outcome,
+        waited: f64,
+    ) {
+        let met = match outcome {
+            Outcome::Playing => Some(Met::Success),
+            Outcome::Error => Some(Met::Error),
+            Outcome::TimedOut | Outcome::Broken => Some(Met::TimedOut),
+            Outcome::Unreachable => Some(Met::Refused),
+            Outcome::Full | Outcome::Finished | Outcome::Withdrawn | Outcome::NeverSent => None,
+        };
+        met.into_iter().for_each(|met| self.met(now, server, met));
+        let played = outcome == Outcome::Playing;
+        let how = if played { Ended::Playing(waited) } else { Ended::GivenUp(waited) };
+        self.ledger.ended(wall, play, n, how);
+    }
+
     /// Set-ups out and plays that run, by server and product: all of this front's own.
     pub fn counts(&mut self, own: BTreeMap<(u64, u16), (u32, u32)>) {
         self.counts.replace(own);
@@ -304,9 +334,4 @@
     pub fn unheard(&self, now: f64) -> BTreeSet<String> {
         said::unheard(&self.gossip, now)
     }
-
-    /// Whether a front of this name is a peer.
-    pub fn knows(&self, name: &str) -> bool {
-        self.gossip.front(0.0, origin_of(name)).is_some()
-    }
 }
--- a/crates/fellow/src/said.rs
+++ b/crates/fellow/src/said.rs
@@ -1,7 +1,7 @@
 //! What a fellow says of the fleet when it is asked: verdicts, estimates, who is heard.
 
+use crate::Fellow;
 use crate::row::{ACTIVE, SUMS, heard};
-use crate::{Fellow, Verdict};
 use pulleystair_drift::Active;
 use pulleystair_drift::verdict::Word;
 use pulleystair_gossip::{Gossip, Silence};
@@ -136,10 +136,4 @@
             },
         })
     }
-
-    /// Whether this front is in step, by its own word.
-    pub fn own_verdict(&mut self, now: f64, wall: f64) -> Option<Verdict> {
-        let name = self.terms.exchange.name.clone();
-        self.drift(now, wall)?.fronts.into_iter().find(|it| it.front == name).map(|it| it.verdict)
-    }
 }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -322,8 +322,7 @@
                 answers[0].asks = true;
                 answers[0].known.push(row.had(now, theirs.origin));
             }
-            let younger =
-                ours.age.is_some_and(|age| theirs.age.is_none_or(|t| f64::from(t) > f64::from(age)));
+            let younger = ours.age.is_some_and(|age| theirs.age.is_none_or(|t| t > age));
             if !newer && !older && (younger || ours.sum != theirs.sum) {
                 answers[0].known.push(ours);
             }
--- a/crates/mutated/src/post.rs
+++ b/crates/mutated/src/post.rs
@@ -6,7 +6,7 @@
 use pulleystair::{Figure, Listing, Outcome as End, Standing};
 use pulleystair_desk::{Desk, Wish};
 use pulleystair_edge::http;
-use pulleystair_fellow::{Candidate, Ended, Listed, Met, number_of};
+use pulleystair_fellow::{Candidate, Listed, number_of};
 use pulleystair_gossip::message::Origin;
 use pulleystair_gossip::origin_of;
 use pulleystair_rtsp as rtsp;
@@ -229,17 +229,7 @@
         let Some(it) = self.fronts[f].sessions.get(&play) else { return };
         let (n, waited) = (it.n, now - it.sent);
         let id = number_of(&format!("m{server}"));
-        let met = match outcome {
-            End::Playing => Some(Met::Success),
-            End::Error => Some(Met::Error),
-            End::TimedOut | End::Broken => Some(Met::TimedOut),
-            End::Unreachable => Some(Met::Refused),
-            _ => None,
-        };
-        let fellow = &mut self.fronts[f].fellow;
-        met.into_iter().for_each(|met| fellow.met(now, id, met));
-        let how = if outcome == End::Playing { Ended::Playing(waited) } else { Ended::GivenUp(waited) };
-        fellow.ledger.ended(now, play, n, how);
+        self.fronts[f].fellow.out_no_more(now, now, id, (play, n), outcome, waited);
     }
 
     pub(crate) fn answer(&mut self, f: usize, play: u64, status: u16) {
--- a/crates/mutated/src/world.rs
+++ b/crates/mutated/src/world.rs
@@ -5,7 +5,7 @@
 use crate::{Change, Kind};
 use oorandom::Rand64;
 use pulleystair::{Given, Listing, Outcome as End, Standing};
-use pulleystair_fellow::number_of;
+use pulleystair_fellow::{number_of, told};
 use pulleystair_shared::budgets::OWN;
 use pulleystair_witness::rules::check;
 use pulleystair_witness::{Seen, What};
@@ -260,19 +260,8 @@
         let (given, out) = front.fellow.look(now, now);
         let due = front.fellow.due();
         let numbers: BTreeMap<u64, u32> = (0..SERVERS as u32).map(|s| (id(&s), s)).collect();
-        let given: Vec<(u32, Given)> = given
-            .iter()
-            .filter_map(|it| {
-                let told = Given {
-                    server: 0,
-                    doubted: it.doubted,
-                    pace: it.pace,
-                    further_gap: it.further_gap,
-                    probe_gap: it.probe_gap,
-                };
-                Some((*numbers.get(&it.server)?, told))
-            })
-            .collect();
+        let given: Vec<(u32, Given)> =
+            given.iter().filter_map(|it| Some((*numbers.get(&it.server)?, told(it)))).collect();
         self.call(f, |desk, now, _| desk.given(now, &given));
         self.datagrams(f, out);
         self.at((due - now).max(0.001), Event::Fellow(f));
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -175,9 +175,9 @@
         self.expire(now);
         for purse in self.purses.values_mut() {
             purse.asked.retain(|a| now < a.1 + span);
-            let lately = |at: &Option<f64>| at.is_some_and(|at| now < at + span);
-            purse.used = purse.used.filter(|at| lately(&Some(*at)));
-            purse.wanted = purse.wanted.filter(|at| lately(&Some(*at)));
+            let lately = |at: &f64| now < at + span;
+            purse.used = purse.used.filter(lately);
+            purse.wanted = purse.wanted.filter(lately);
         }
         for peer in heard {
             for grant in items::<Grant>(&peer.grants) {
