A story waits for the word of five fronts to go round before it is held against three liars

At fault is the test: it asked the five honest fronts the moment the last play was answered, before what each was served could have reached the others, ten questions a second.

--- a/crates/edge/tests/many.rs
+++ b/crates/edge/tests/many.rs
@@ -149,6 +149,10 @@
     let liars: Vec<Fake> = (5..8).map(|front| Fake::start(&house, front, "here", Fake::fails_all)).collect();
     acquainted(&house, 5, 0.0).await;
     plays(&house, "a", &[0, 1, 2, 3, 4], 30).await;
+    // What each was served the others have heard by then.
+    let taken = |f| told(&house, f)["exchange"]["taken"].as_u64().unwrap_or(0);
+    let served: Vec<u64> = (0..5).map(taken).collect();
+    until("words of that have gone round", || (0..5).all(|f| taken(f) >= served[f] + 24)).await;
     let honest = (0..5).filter(|f| doubted(&told(&house, *f)).is_empty()).count();
     assert_eq!(honest, 5, "outvoted by those that were served");
     until("words of the honest are old", || doubted(&told(&house, 0)).len() == 2).await;
