--- /dev/null
+++ b/crates/edge/tests/crossings.rs
@@ -0,0 +1,344 @@
+//! Two events at a node in the same instant, one of them a viewer's or a server's: the crossing is forced, by a node that stands still
+//! while both come, or by a connection that comes up when it is told to. `docs/notes/crossings.md` has a row for each.
+
+mod peers;
+mod stage;
+
+use peers::{DESCRIPTION, Host, Names, Node, Viewer, message, set_up};
+use stage::{ANSWER, HERE, RELEASE, Stage, stage, stage_told};
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// How a viewer goes.
+#[derive(Clone, Copy)]
+enum Goes {
+    Closes,
+    Resets,
+    HalfCloses,
+    GivesUp,
+}
+
+fn goes(mut viewer: Viewer, play: u64, how: Goes) -> Option<Viewer> {
+    match how {
+        Goes::Closes => drop(viewer),
+        Goes::Resets => viewer.reset(),
+        Goes::HalfCloses => {
+            viewer.stream.shutdown(Shutdown::Write).expect("so");
+            return Some(viewer);
+        }
+        Goes::GivesUp => {
+            viewer.say(&message(RELEASE, play, &[(45, &[16])]));
+            return Some(viewer);
+        }
+    }
+    None
+}
+
+/// The next set-up that the first host is asked for is this one.
+fn next_is(stage: &Stage, play: u64) {
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(play, &[HERE]));
+    let (mut wire, asked) = stage.next_at(0);
+    assert_eq!(asked.session(), play, "nobody waits for an earlier one");
+    wire.answer(&asked, 200, DESCRIPTION);
+    viewer.hears(ANSWER, play);
+}
+
+#[test_case(Goes::Closes; "closes")]
+#[test_case(Goes::Resets; "resets")]
+#[test_case(Goes::HalfCloses; "closes one side")]
+#[test_case(Goes::GivesUp; "gives up")]
+fn a_viewer_that_goes_as_its_set_up_is_read_has_none_made(how: Goes) {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.hears_nothing();
+    let mut kept = None;
+    stage.node.meanwhile(|| {
+        viewer.say(&set_up(101, &[HERE]));
+        kept = goes(viewer, 101, how);
+    });
+    next_is(&stage, 102);
+    drop(kept);
+}
+
+/// The time of its first attempt and its viewer's end come while the node stands still; so does the server's refusal.
+#[test_case(Goes::Closes, false; "closes as its time rings")]
+#[test_case(Goes::GivesUp, false; "gives up as its time rings")]
+#[test_case(Goes::Closes, true; "closes as it is refused")]
+#[test_case(Goes::GivesUp, true; "gives up as it is refused")]
+fn a_viewer_that_goes_has_no_further_attempt_made(how: Goes, refused: bool) {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    // A connection that has been up for long: no clock of its own has it read.
+    let mut wire = stage.stands(&mut viewer, 100);
+    viewer.waits_a_turn();
+    viewer.say(&set_up(103, &[HERE]));
+    let asked = wire.wants("SETUP");
+    let mut kept = None;
+    stage.node.meanwhile(|| {
+        if refused {
+            wire.answer(&asked, 453, "");
+        } else {
+            // A third of the first-frame target, and more.
+            std::thread::sleep(Duration::from_millis(1_000));
+        }
+        kept = goes(viewer, 103, how);
+    });
+    let mut next = stage.node.viewer();
+    next.say(&set_up(104, &[HERE]));
+    if !refused {
+        wire.wants("TEARDOWN");
+    }
+    assert_eq!(wire.wants("SETUP").session(), 104);
+    drop(kept);
+}
+
+/// Its time had rung before its server's answer was read.
+#[test]
+fn an_answer_that_has_come_counts_before_the_time_that_rings() {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    let mut wire = stage.stands(&mut viewer, 100);
+    viewer.waits_a_turn();
+    viewer.say(&set_up(105, &[HERE]));
+    let asked = wire.wants("SETUP");
+    stage.node.meanwhile(|| {
+        std::thread::sleep(Duration::from_millis(1_000));
+        wire.answer(&asked, 200, DESCRIPTION);
+    });
+    viewer.hears(ANSWER, 105);
+    wire.ends(&mut viewer, 105);
+}
+
+/// The answer comes first, and the node reads it first; its viewer was gone by then.
+#[test_case(Goes::Closes; "closes")]
+#[test_case(Goes::GivesUp; "gives up")]
+fn an_answer_for_a_viewer_that_has_gone_leaves_nothing_standing(how: Goes) {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(106, &[HERE]));
+    let (mut wire, asked) = stage.next_at(0);
+    let mut kept = None;
+    stage.node.meanwhile(|| {
+        wire.answer(&asked, 200, DESCRIPTION);
+        kept = goes(viewer, 106, how);
+    });
+    assert_eq!(wire.wants("TEARDOWN").session(), 106);
+    if let Some(mut viewer) = kept {
+        viewer.hears_nothing();
+    }
+}
+
+/// A stage whose first host's connections come up only when it is told to.
+fn late_stage(otherwise: &[(&str, &str)]) -> Stage {
+    let hosts = vec![Host::late("s-0000000a", 0), Host::start("s-0000000b", 1)];
+    let names = Names::start(hosts.iter().map(Host::record).collect());
+    let all: Vec<&Host> = hosts.iter().collect();
+    let mut posting = Node::posting(names.at, &all, 256, 3_000_000);
+    for (was, is) in otherwise {
+        assert!(posting.contains(was), "{was}");
+        posting = posting.replace(was, is);
+    }
+    let node = Node::start(&posting);
+    Stage { node, names, hosts }
+}
+
+/// The node waits for connections for 10 s, and for answers for 30 s.
+const PATIENT: [(&str, &str); 2] = [
+    (r#""dialTimeoutUs":250000"#, r#""dialTimeoutUs":10000000"#),
+    (r#""aimUs":2000000"#, r#""aimUs":90000000"#),
+];
+const LONG: (u8, &str) = (6, "120000");
+
+/// Its connection is still being made; what waits there would reach the server when nobody asks for it any more.
+#[test_case(Goes::Closes; "closes")]
+#[test_case(Goes::GivesUp; "gives up")]
+fn a_set_up_that_waits_for_its_connection_is_taken_back_with_its_viewer(how: Goes) {
+    let mut stage = late_stage(&PATIENT);
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(107, &[HERE, LONG]));
+    viewer.waits_a_turn();
+    let kept = goes(viewer, 107, how);
+    let mut next = stage.node.viewer();
+    next.waits_a_turn();
+    next.say(&set_up(108, &[HERE, LONG]));
+    next.waits_a_turn();
+    stage.hosts[0].comes_up();
+    assert_eq!(stage.next_at(0).1.session(), 108, "it is the first on the first connection");
+    drop(kept);
+}
+
+#[test]
+fn a_set_up_that_waits_for_its_connection_is_taken_back_when_its_server_drains() {
+    let mut stage = late_stage(&PATIENT);
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(109, &[HERE, LONG]));
+    viewer.waits_a_turn();
+    let mut draining = stage.hosts[0].record();
+    draining.draining = true;
+    stage.names.change(|zone| (zone.serial, zone.records) = (2, vec![draining]));
+    assert_eq!(viewer.hears(RELEASE, 109).cause(), 34);
+    stage.hosts[0].comes_up();
+    let mut wire = stage.hosts[0].accept();
+    stage.node.signal("TERM");
+    assert!(wire.next().is_none(), "nothing was sent on it");
+}
+
+/// Two paid set-ups wait on one connection; the first is taken back. The second goes out whole, and has left when the connection is
+/// reset: it may have run, and is not made again.
+#[test]
+fn what_waits_beside_a_set_up_that_is_taken_back_goes_out_whole() {
+    let one_line = (r#""sockets":256"#, r#""sockets":44"#);
+    let paid = (r#""effect":"read_like""#, r#""effect":"non_idempotent""#);
+    let mut stage = late_stage(&[PATIENT[0], PATIENT[1], one_line, paid]);
+    let (mut first, mut second) = (stage.node.viewer(), stage.node.viewer());
+    for (viewer, play) in [(&mut first, 110), (&mut second, 111)] {
+        viewer.say(&set_up(play, &[HERE, LONG]));
+        viewer.waits_a_turn();
+    }
+    first.say(&message(RELEASE, 110, &[(45, &[16])]));
+    first.waits_a_turn();
+    stage.hosts[0].comes_up();
+    let (wire, asked) = stage.next_at(0);
+    assert_eq!((asked.session(), asked.body.as_str()), (111, DESCRIPTION));
+    wire.reset();
+    assert_eq!(second.hears(RELEASE, 111).cause(), 41);
+}
+
+/// The first answer comes on the line on which it was given up, while the same id is out at the same server on another: an end
+/// told for the one would be taken for the other's.
+#[test]
+fn a_late_answer_under_an_id_that_is_out_there_again_is_passed_over() {
+    let mut stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(112, &[HERE]));
+    let (mut old, asked) = stage.next_at(0);
+    assert_eq!(old.wants("TEARDOWN").get("Reason"), None);
+    let (mut wire, again) = stage.next_at(0);
+    assert_eq!(again.session(), 112);
+    old.answer(&asked, 200, "late\r\n");
+    viewer.hears_nothing();
+    wire.answer(&again, 200, DESCRIPTION);
+    assert_eq!(viewer.hears(ANSWER, 112).get(48), Some(DESCRIPTION.as_bytes()));
+    wire.ends(&mut viewer, 112);
+    stage.node.signal("TERM");
+    assert!(stage.node.ended().success());
+    assert!(old.next().is_none(), "no end was told on the line of the attempt given up");
+}
+
+/// It was idle; its server closes it in the instant in which a set-up comes. A paid one that went out on it would have failed.
+#[test]
+fn a_set_up_is_not_written_on_a_connection_that_its_server_has_closed() {
+    let stage = stage_told(256, &[(r#""effect":"read_like""#, r#""effect":"non_idempotent""#)]);
+    let mut viewer = stage.node.viewer();
+    let mut wire = stage.stands(&mut viewer, 113);
+    wire.ends(&mut viewer, 113);
+    stage.node.meanwhile(|| {
+        viewer.say(&set_up(114, &[HERE]));
+        wire.close();
+    });
+    stage.hosts[0].accept().serves(&mut viewer, 114);
+}
+
+/// Its server closes connections that are idle for 2 s; one that is nearly that may be closed as the set-up is on its way.
+#[test]
+fn a_connection_that_is_about_to_be_closed_as_idle_gets_no_set_up() {
+    let stage = stage_told(256, &[PATIENT[1], (r#""idleCloseUs":30000000"#, r#""idleCloseUs":2000000"#)]);
+    let mut viewer = stage.node.viewer();
+    let mut wire = stage.stands(&mut viewer, 115);
+    wire.ends(&mut viewer, 115);
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(1_800) {
+        viewer.hears_nothing();
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    viewer.say(&set_up(116, &[HERE, LONG]));
+    stage.hosts[0].accept().serves(&mut viewer, 116);
+}
+
+// ---- hand-overs ----
+
+const AT: (u8, &str) = (18, "home:0;copies:1;top:1;at:s-0000000a");
+
+/// The server tells of ends on the first connection that it sees, of which the hand-over is still to come.
+#[test]
+fn a_session_that_is_handed_over_after_its_servers_release_is_over() {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(120, &[AT, (6, "0")]));
+    let mut wire = stage.hosts[0].accept();
+    wire.request("TEARDOWN", 121, "Reason: cause=41\r\n");
+    wire.ends(&mut viewer, 120);
+    viewer.say(&set_up(121, &[AT, (6, "0")]));
+    assert_eq!(viewer.hears(RELEASE, 121).cause(), 41);
+    // What is handed over once more after its end was told stays over.
+    viewer.say(&set_up(121, &[AT, (6, "0")]));
+    viewer.say(&set_up(120, &[AT, (6, "0")]));
+    viewer.hears_nothing();
+    stage.node.logs("sessions=0");
+}
+
+/// The end is told on the connection that is being read, and more waits there than is read at a time.
+#[test]
+fn what_waits_on_a_connection_as_an_end_is_told_on_it_is_not_lost() {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(125, &[AT, (6, "0")]));
+    let mut wire = stage.hosts[0].accept();
+    wire.request("TEARDOWN", 126, "Reason: cause=41\r\n");
+    wire.ends(&mut viewer, 125);
+    stage.node.meanwhile(|| {
+        let mut bytes = set_up(126, &[AT, (6, "0")]);
+        // Progress, which means nothing, and then a test.
+        (0..6_000).for_each(|_| bytes.extend(message(6, 126, &[])));
+        bytes.extend(message(52, 127, &[(45, &[0])]));
+        viewer.say(&bytes);
+    });
+    assert_eq!(viewer.hears(RELEASE, 126).cause(), 41);
+    viewer.hears(53, 127);
+}
+
+/// Its viewer ends it on one connection while another hands it over.
+#[test]
+fn a_session_that_is_handed_over_after_its_viewers_release_is_ended_at_its_server() {
+    let stage = stage();
+    let mut viewer = stage.node.viewer();
+    viewer.say(&message(RELEASE, 122, &[(45, &[19])]));
+    viewer.hears_nothing();
+    let mut other = stage.node.viewer();
+    other.say(&set_up(122, &[AT, (6, "0")]));
+    let cut = stage.hosts[0].accept().wants("TEARDOWN");
+    assert_eq!((cut.session(), cut.get("Reason")), (122, Some("cause=19")));
+}
+
+/// Handed over and ended in one go, while no connection to its server comes up in time.
+#[test]
+fn an_end_that_its_connection_could_not_carry_is_told_on_the_next() {
+    let mut stage = late_stage(&[]);
+    let mut viewer = stage.node.viewer();
+    let mut both = set_up(123, &[AT, (6, "0")]);
+    both.extend(message(RELEASE, 123, &[(45, &[19])]));
+    viewer.say(&both);
+    // The time to make the first connection has passed by then.
+    stage.names.asked(5);
+    stage.hosts[0].comes_up();
+    let cut = stage.hosts[0].accept().next().expect("an end");
+    assert_eq!((cut.method(), cut.session(), cut.get("Reason")), ("TEARDOWN", 123, Some("cause=19")));
+}
+
+/// The list of the start lacks its server, and the name service is silent: it may be on the list that comes.
+#[test]
+fn a_session_at_a_server_that_no_list_has_told_of_yet_is_not_over() {
+    let hosts = [Host::start("s-0000000a", 0), Host::start("s-0000000b", 1)];
+    let names = Names::start(hosts.iter().map(Host::record).collect());
+    names.change(|zone| (zone.serial, zone.manner) = (2, peers::Manner::Silent));
+    let node = Node::start(&Node::posting(names.at, &[&hosts[1]], 256, 3_000_000));
+    let mut viewer = node.viewer();
+    viewer.say(&set_up(124, &[AT, (6, "0")]));
+    viewer.hears_nothing();
+    // Two looks at the servers and more.
+    names.asked(8);
+    names.change(|zone| zone.manner = peers::Manner::Good);
+    hosts[0].accept().ends(&mut viewer, 124);
+}
--- a/crates/edge/tests/peers/process.rs
+++ b/crates/edge/tests/peers/process.rs
@@ -102,6 +102,38 @@
         assert!(status.expect("kill").success());
     }
 
+    /// It stands still, and what peers do meanwhile has all come when it goes on.
+    pub fn meanwhile(&self, what: impl FnOnce()) {
+        self.signal("STOP");
+        what();
+        self.signal("CONT");
+    }
+
+    /// It may hold so many descriptors, from now on.
+    pub fn may_hold(&self, descriptors: usize) {
+        let (pid, most) = (self.child.id().to_string(), format!("--nofile={descriptors}:20000"));
+        let status = Command::new("prlimit").args(["--pid", &pid, &most]).status();
+        assert!(status.expect("prlimit").success());
+    }
+
+    /// It gets no further descriptor, from now on.
+    pub fn may_hold_no_more(&self) {
+        let held = |n: &usize| std::fs::read_link(format!("/proc/{}/fd/{n}", self.child.id())).is_ok();
+        self.may_hold((0..).find(|n| !held(n)).expect("a free one"));
+    }
+
+    /// How many descriptors it holds.
+    pub fn holds(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
+    /// The processor time that it has used, in ticks.
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
+        let rest = stat.rsplit_once(')').expect("its name").1;
+        rest.split_whitespace().skip(11).take(2).map(|t| t.parse::<u64>().expect("ticks")).sum()
+    }
+
     pub fn rewrite(&self, posting: &str) {
         std::fs::write(self.folder.path().join("config.json"), posting).expect("a file");
     }
--- a/crates/edge/tests/peers/servers.rs
+++ b/crates/edge/tests/peers/servers.rs
@@ -1,6 +1,7 @@
 //! Media servers.
 
 use super::*;
+use socket2::{Domain, Socket, Type};
 use std::cell::RefCell;
 use std::io::{BufRead, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,6 +13,8 @@
     pub(super) kept: RefCell<Option<TcpStream>>,
     pub at: SocketAddr,
     pub cell: usize,
+    /// Connections that fill its queue.
+    fill: Vec<TcpStream>,
 }
 
 pub struct Wire {
@@ -45,12 +48,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         listener.set_nonblocking(true).expect("so");
         let at = listener.local_addr().expect("its address");
-        Host { id: id.into(), listener: Some(listener), kept: RefCell::new(None), at, cell }
+        Host { id: id.into(), listener: Some(listener), kept: RefCell::new(None), at, cell, fill: Vec::new() }
     }
 
     /// One that is listed and takes no connections.
     pub fn named(id: &str, cell: usize, at: SocketAddr) -> Host {
-        Host { id: id.into(), listener: None, kept: RefCell::new(None), at, cell }
+        Host { id: id.into(), listener: None, kept: RefCell::new(None), at, cell, fill: Vec::new() }
     }
 
     pub fn record(&self) -> Record {
@@ -71,6 +74,33 @@
         Wire { stream, input: Vec::new() }
     }
 
+    /// One whose machine answers no call until [`Host::comes_up`]: its queue is full, so that a connection comes up late.
+    pub fn late(id: &str, cell: usize) -> Host {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("so");
+        let listener = TcpListener::from(socket);
+        let at = listener.local_addr().expect("its address");
+        // The one that fits, and others until one has to wait.
+        let mut fill = Vec::new();
+        let soon = Duration::from_millis(100);
+        while let Ok(stream) = TcpStream::connect_timeout(&at, soon) {
+            fill.push(stream);
+        }
+        listener.set_nonblocking(true).expect("so");
+        Host { id: id.into(), listener: Some(listener), kept: RefCell::new(None), at, cell, fill }
+    }
+
+    /// From now on calls are answered.
+    pub fn comes_up(&mut self) {
+        let listener = self.listener.as_ref().expect("it listens");
+        self.fill.drain(..).for_each(|stream| {
+            let (taken, from) = listener.accept().expect("it waits in the queue");
+            assert_eq!(Some(from), stream.local_addr().ok());
+            drop(taken);
+        });
+    }
+
     /// Whether the node has called; its connection is kept for [`Host::accept`].
     pub fn called(&self) -> bool {
         let mut kept = self.kept.borrow_mut();
@@ -152,6 +182,9 @@
         assert_eq!(viewer.hears(12, play).cause(), 16);
     }
 
+    /// Closed as a server closes what is idle.
+    pub fn close(self) {}
+
     pub fn reset(self) {
         socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("to be reset");
     }
--- a/crates/edge/tests/peers/viewers.rs
+++ b/crates/edge/tests/peers/viewers.rs
@@ -83,12 +83,25 @@
         Some(Told { kind: rest[0], session, parameters })
     }
 
+    /// Whatever it has said is not read any more: its connection is reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream)
+            .set_linger(Some(std::time::Duration::ZERO))
+            .expect("to be reset");
+    }
+
     pub fn hears(&mut self, kind: u8, session: u64) -> Told {
         let told = self.next().expect("the node keeps the connection");
         assert_eq!((told.kind, told.session), (kind, session), "{told:?}");
         told
     }
 
+    /// A turn of the node's loop has begun and ended since the last word of this viewer.
+    pub fn waits_a_turn(&mut self) {
+        self.hears_nothing();
+        self.hears_nothing();
+    }
+
     /// What comes before the answer to a test: nothing else was on its way.
     pub fn hears_nothing(&mut self) {
         self.say(&message(52, 77, &[(45, &[0])]));
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -99,6 +99,24 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Takes back bytes that were given as from `begins`; false, and nothing is changed, if any of them may have left.
+    pub fn take_back(&mut self, begins: u64, count: usize) -> bool {
+        if begins < self.gone || begins + count as u64 > self.given {
+            return false;
+        }
+        let from = self.sent + (begins - self.gone) as usize;
+        self.output.drain(from..from + count);
+        self.given -= count as u64;
+        true
+    }
+
+    /// Gives input that was taken out back, without its first bytes, which are used; what has come meanwhile follows it.
+    pub fn put_back(&mut self, mut input: Vec<u8>, used: usize) {
+        input.drain(..used);
+        input.append(&mut self.input);
+        self.input = input;
+    }
+
     /// Bytes that wait to be written.
     pub fn pending(&self) -> usize {
         let sealed = self.seal.as_ref().is_some_and(|seal| seal.wants_write());
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -99,6 +99,31 @@
     }
 }
 
+impl Known {
+    /// What all the events come to, in their order: the list, and whether it is whole.
+    pub fn list(&self) -> (bool, Vec<Entry>) {
+        let (mut whole, mut list): (bool, Vec<Entry>) = (false, Vec::new());
+        let mut places: HashMap<String, usize> = HashMap::new();
+        for notice in &self.notices {
+            let (all, entries) = notice.lines();
+            if all {
+                (whole, list) = (true, Vec::new());
+                places.clear();
+            }
+            for entry in entries {
+                match places.get(&entry.id) {
+                    Some(place) => list[*place] = entry,
+                    None => {
+                        places.insert(entry.id.clone(), list.len());
+                        list.push(entry);
+                    }
+                }
+            }
+        }
+        (whole, list)
+    }
+}
+
 /// Why an answer of the name service was not taken.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Fault {
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -1,20 +1,18 @@
-//! What the desk's hands work with: the lines, the sessions that viewers asked for, the media servers, and the clocks.
+//! What a node keeps: the lines, the sessions that viewers asked for, the media servers, and the clocks. What is written to either
+//! side is in `to_viewers` and `to_servers`, what the desk has done in `hands`.
 
+use crate::ended::Ended;
 use crate::node::Node;
 use crate::posting::{Posting, Terms};
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::{Listing, Outcome, Standing};
-use pulleystair_desk::Hands;
 use pulleystair_lines::Key;
 use pulleystair_lines::clocks::Clocks;
-use pulleystair_rtsp as rtsp;
-use pulleystair_signal::{self as signal, code, kind};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tracing::debug;
 
 pub(crate) type Lines = pulleystair_lines::Lines<Node, Role>;
 
@@ -27,18 +25,18 @@
 pub(crate) const ENDED: u8 = 16;
 pub(crate) const WITHDRAWN: u8 = 31;
 /// `CSeq` of each request to a server, and of the answers to it.
-const SET_UP: u32 = 1;
+pub(crate) const SET_UP: u32 = 1;
 pub(crate) const GIVE_UP: u32 = 2;
 pub(crate) const ASK: u32 = 3;
-const OTHER: u32 = 4;
+pub(crate) const OTHER: u32 = 4;
 /// Bytes read of a line at a time: a message fits.
 pub(crate) const READ: usize = 32 << 10;
 /// Bytes that may wait for a viewer that does not read them.
-const UNREAD: usize = 256 << 10;
+pub(crate) const UNREAD: usize = 256 << 10;
 /// How long a release waits for a viewer's connection, ms: it has to be told within that time of the end.
 pub(crate) const OWED: f64 = 8_000.0;
 /// Releases that may wait.
-const OWED_MOST: usize = 4_096;
+pub(crate) const OWED_MOST: usize = 4_096;
 
 pub(crate) enum Role {
     Viewer(Viewer),
@@ -59,13 +57,49 @@
 /// A connection to a media server.
 pub(crate) struct Wire {
     pub(crate) server: u32,
-    /// Set-ups on it that have no answer yet, with where each begins among all bytes of the line.
-    pub(crate) open: Vec<(u64, u64)>,
+    /// Set-ups on it that have no answer yet.
+    pub(crate) open: Vec<Open>,
+    /// Ends of sessions that were told on it and of which nothing has left yet.
+    pub(crate) cuts: Vec<Cut>,
     pub(crate) up: bool,
-    /// When something last came on it.
+    /// When something last came on it, and when it last came or was written.
     pub(crate) heard: f64,
+    pub(crate) stirred: f64,
     /// No further set-ups: it brought no answer to one while it was silent.
     pub(crate) tired: bool,
+    /// When it was dialled: what a server's process before that knew is not this connection's.
+    pub(crate) dialled: f64,
+}
+
+impl Wire {
+    pub(crate) fn new(server: u32, now: f64) -> Wire {
+        let (open, cuts) = (Vec::new(), Vec::new());
+        Wire { server, open, cuts, up: false, heard: now, stirred: now, tired: false, dialled: now }
+    }
+}
+
+/// A set-up on a line: where it begins among all bytes of the line, and how long it is.
+#[derive(Clone, Copy)]
+pub(crate) struct Open {
+    pub(crate) play: u64,
+    pub(crate) begins: u64,
+    pub(crate) length: usize,
+}
+
+/// The end of a session that its server is to be told, and where that begins among all bytes of the line that it was written on.
+pub(crate) struct Cut {
+    pub(crate) server: u32,
+    pub(crate) play: u64,
+    pub(crate) cause: u8,
+    pub(crate) since: f64,
+    pub(crate) begins: u64,
+}
+
+/// An attempt that the desk wants made: the session's how-manieth, and when it has had its time.
+pub(crate) struct Attempt {
+    pub(crate) session: u64,
+    pub(crate) number: u32,
+    pub(crate) until: f64,
 }
 
 /// A play as the sockets have it.
@@ -80,8 +114,8 @@
     pub(crate) line: Option<Key>,
     pub(crate) playing: bool,
     pub(crate) since: f64,
-    pub(crate) allocations: u32,
-    /// Lines on which an earlier allocation was given up: what still comes there is not for a later one.
+    pub(crate) attempts: u32,
+    /// Lines on which an earlier attempt was given up: what still comes there is not for a later one.
     pub(crate) used: Vec<Key>,
     pub(crate) rung: usize,
     pub(crate) rung_sent: usize,
@@ -112,7 +146,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Clock {
     Desk(u32),
-    /// This allocation of a play has had its time.
+    /// This attempt of a session has had its time.
     TimeOut(u64, u32),
     Line(Key),
     Ask,
@@ -120,10 +154,14 @@
     Sums,
     /// After a stop, connections are taken no more.
     Door,
+    /// Connections are taken again, after there was no descriptor for one.
+    Accept,
+    /// The file is read anew once more, after there was no descriptor for it.
+    Anew,
     Stop,
 }
 
-/// What was found while the desk was busy: how an allocation ended.
+/// What was found while the desk was busy: how an attempt ended.
 pub(crate) struct News {
     pub(crate) play: u64,
     pub(crate) server: u32,
@@ -162,6 +200,12 @@
     pub(crate) next_server: u32,
     pub(crate) clocks: Clocks<Clock>,
     pub(crate) news: VecDeque<News>,
+    /// Attempts that the desk wants made, and those whose viewer's connection was read only in part.
+    pub(crate) outgoing: VecDeque<Attempt>,
+    pub(crate) held: Vec<Attempt>,
+    /// Ends that no line could carry to their servers.
+    pub(crate) cuts: VecDeque<Cut>,
+    pub(crate) ended: Ended,
     /// Lines that have more to read than one turn takes.
     pub(crate) again: VecDeque<Key>,
     /// Viewers' lines in the order in which they came.
@@ -192,6 +236,10 @@
             next_server: 0,
             clocks: Clocks::new(unix),
             news: VecDeque::new(),
+            outgoing: VecDeque::new(),
+            held: Vec::new(),
+            cuts: VecDeque::new(),
+            ended: Ended::default(),
             again: VecDeque::new(),
             viewers: VecDeque::new(),
             owed: VecDeque::new(),
@@ -230,359 +278,4 @@
             Role::Viewer(_) => None,
         }
     }
-
-    // ---- towards viewers ----
-
-    /// Writes on a viewer's line; one that does not read is closed.
-    pub(crate) fn write_viewer(&mut self, key: Key, bytes: &[u8]) {
-        let Some(line) = self.lines.get(key) else { return };
-        line.write(bytes);
-        line.flush();
-        if line.ended || line.pending() > UNREAD {
-            line.ended = true;
-            self.again.push_back(key);
-        }
-    }
-
-    /// The final answer of a play that does not run.
-    pub(crate) fn turn_away(&mut self, play: u64, cause: u8, pause: f64) {
-        let Some(session) = self.sessions.remove(&play) else { return };
-        self.answered(session.viewer, play);
-        self.tell_release(session.viewer, play, cause, pause);
-    }
-
-    /// A refusal, a failure or the end of what stood, under an id that need not have been taken.
-    pub(crate) fn tell_release(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
-        let pause = format!("{}", pause.ceil().max(0.0));
-        let mut parameters: Vec<(u8, &[u8])> = vec![(code::CAUSE, std::slice::from_ref(&cause))];
-        if pause != "0" {
-            parameters.push((code::STAY_AWAY, pause.as_bytes()));
-        }
-        if let Some(bytes) = signal::write(kind::RELEASE, play, &parameters) {
-            self.write_viewer(key, &bytes);
-        }
-    }
-
-    /// A set-up has its answer, or needs none any more.
-    pub(crate) fn answered(&mut self, key: Key, play: u64) {
-        self.deciding = self.deciding.saturating_sub(1);
-        if let Some(viewer) = self.viewer(key) {
-            viewer.open.retain(|p| *p != play);
-        }
-    }
-
-    /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
-    pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
-        let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
-        debug!(target: "play", play = format!("{play:016x}"), cause, own = key == Some(viewer), waits = key.is_none(), "over");
-        match key {
-            Some(key) => self.tell_release(key, play, cause, 0.0),
-            None if self.owed.len() < OWED_MOST => self.owed.push_back((play, cause, self.now())),
-            None => {}
-        }
-    }
-
-    /// Whether a viewer's connection is still open at its other end, as far as can be told.
-    fn is_there(&mut self, key: Key) -> bool {
-        let Some(line) = self.lines.get(key) else { return false };
-        // What comes meanwhile is taken off at the line's own turn.
-        if line.read(UNREAD) || line.ended {
-            self.again.push_back(key);
-        }
-        self.lines.get(key).is_some_and(|line| !line.ended)
-    }
-
-    /// The latest connection on which a viewer of that address has asked for something, else of any.
-    fn way_to(&mut self, from: Option<IpAddr>) -> Option<Key> {
-        let mut other = None;
-        for key in self.viewers.clone().into_iter().rev() {
-            let Some(line) = self.lines.get(key) else { continue };
-            let asks = matches!(&line.role, Role::Viewer(viewer) if viewer.proven);
-            let own = line.from() == from;
-            if !asks || !own && other.is_some() || !self.is_there(key) {
-                continue;
-            }
-            if own {
-                return Some(key);
-            }
-            other = Some(key);
-        }
-        other
-    }
-
-    /// A viewer's connection has proven to be one: what is owed goes out on it.
-    pub(crate) fn pay(&mut self, key: Key) {
-        let now = self.now();
-        while let Some((play, cause, since)) = self.owed.pop_front() {
-            debug!(target: "play", play = format!("{play:016x}"), waited = now - since, "release that waited");
-            if now - since < OWED {
-                self.tell_release(key, play, cause, 0.0);
-            }
-        }
-    }
-
-    // ---- towards servers ----
-
-    pub(crate) fn id_of(&self, server: u32) -> &str {
-        self.servers.get(&server).map_or("?", |s| s.id.as_str())
-    }
-
-    /// The number of a server by its id, a new one for a new id.
-    pub(crate) fn number(&mut self, id: &str) -> u32 {
-        if let Some(number) = self.numbers.get(id) {
-            return *number;
-        }
-        let number = self.next_server;
-        self.next_server = self.next_server.wrapping_add(1);
-        self.numbers.insert(id.to_string(), number);
-        self.servers.insert(number, Server { id: id.to_string(), ..Server::default() });
-        number
-    }
-
-    /// A new connection to a server that is listed.
-    pub(crate) fn dial(&mut self, number: u32) -> Option<Key> {
-        let server = self.servers.get(&number)?;
-        let address = server.address?;
-        if server.is_gone() {
-            return None;
-        }
-        if self.wires_open() >= self.shares.servers && !self.spare_wire() {
-            return None;
-        }
-        let server = self.servers.get(&number)?;
-        let stream = pulleystair_lines::connect(address)
-            .inspect_err(|e| debug!(target: "server", id = server.id, "dial: {e}"))
-            .ok()?;
-        let now = self.now();
-        let wire = Wire { server: number, open: Vec::new(), up: false, heard: now, tired: false };
-        let key = self.lines.open(stream, None, Role::Server(wire)).ok()?;
-        let server = self.servers.get_mut(&number)?;
-        server.lines.push(key);
-        debug!(target: "server", server = server.id, lines = server.lines.len(), playing = server.playing, silent = now - server.heard, "dials");
-        let due = now + self.terms.dial;
-        if let Some(line) = self.lines.get(key) {
-            line.due = due;
-        }
-        self.clock(due, Clock::Line(key));
-        Some(key)
-    }
-
-    /// Closes the line that is needed least, where there is one: nothing is under way on it, and no play stands at its server
-    /// or another line leads there; of these the one that has been silent longest.
-    fn spare_wire(&mut self) -> bool {
-        let mut least: Option<(f64, Key)> = None;
-        for server in self.servers.values().filter(|s| s.playing == 0 || s.lines.len() > 1) {
-            for key in &server.lines {
-                let Some(line) = self.lines.get(*key) else { continue };
-                let waits = line.pending() > 0;
-                let Role::Server(wire) = &line.role else { continue };
-                let it = (wire.heard, *key);
-                if !waits && wire.open.is_empty() && least.is_none_or(|least| it < least) {
-                    least = Some(it);
-                }
-            }
-        }
-        let Some((_, key)) = least else { return false };
-        self.drop_wire(key);
-        true
-    }
-
-    /// Lines to servers: all that are no viewer's.
-    pub(crate) fn wires_open(&self) -> usize {
-        self.lines.count() - self.viewers.len()
-    }
-
-    /// Lines that a server may have: its part of those that there may be.
-    fn lines_each(&self) -> usize {
-        let listed = self.servers.values().filter(|s| !s.lines.is_empty()).count().max(8);
-        (self.shares.servers / listed).clamp(1, 8)
-    }
-
-    /// A line to set a play up on: one that carries none, else a new one, else the one that carries least.
-    fn line_for(&mut self, number: u32, not: &[Key]) -> Option<Key> {
-        let keys = self.servers.get(&number)?.lines.clone();
-        let mut best: Option<(bool, usize, Key)> = None;
-        for key in &keys {
-            let Some(line) = self.lines.get(*key) else { continue };
-            let Role::Server(wire) = &line.role else { continue };
-            if wire.tired || line.ended || not.contains(key) || wire.open.len() >= self.terms.streams {
-                continue;
-            }
-            let it = (!wire.up, wire.open.len(), *key);
-            if best.is_none_or(|b| (it.1, it.0) < (b.1, b.0)) {
-                best = Some(it);
-            }
-        }
-        let has_all = keys.len() >= self.lines_each();
-        let may_dial = !has_all && self.wires_open() < self.shares.servers;
-        match best {
-            Some((_, 0, key)) => Some(key),
-            Some((_, _, key)) if !may_dial => Some(key),
-            Some((_, _, key)) => self.dial(number).or(Some(key)),
-            // All its lines are of no use: one that carries nothing makes room.
-            None => {
-                let idle = |key: &Key| self.wire(*key).is_some_and(|wire| wire.open.is_empty());
-                if let Some(key) = keys.into_iter().find(idle).filter(|_| has_all) {
-                    self.drop_wire(key);
-                }
-                self.dial(number)
-            }
-        }
-    }
-
-    /// A line on which a server hears of its standing sessions.
-    pub(crate) fn any_line(&mut self, number: u32) -> Option<Key> {
-        let keys = self.servers.get(&number)?.lines.clone();
-        let usable = keys.into_iter().find(|key| {
-            self.lines
-                .get(*key)
-                .is_some_and(|line| !line.ended && matches!(&line.role, Role::Server(wire) if !wire.tired))
-        });
-        usable.or_else(|| self.dial(number))
-    }
-
-    pub(crate) fn write_wire(&mut self, key: Key, bytes: &[u8]) {
-        let Some(line) = self.lines.get(key) else { return };
-        line.write(bytes);
-        line.flush();
-        if line.ended {
-            self.again.push_back(key);
-        }
-    }
-
-    /// Takes a line to a server out of use; nothing is to be open on it.
-    pub(crate) fn drop_wire(&mut self, key: Key) {
-        let Some(Role::Server(wire)) = self.lines.close(key) else { return };
-        if let Some(server) = self.servers.get_mut(&wire.server) {
-            server.lines.retain(|k| *k != key);
-        }
-    }
-
-    /// Tells a server that a session which stands there is over.
-    pub(crate) fn cut(&mut self, number: u32, line: Option<Key>, play: u64, cause: u8) {
-        let reason = format!("cause={cause}");
-        let bytes = rtsp::request("TEARDOWN", "session", GIVE_UP, play, &[("Reason", &reason)], b"");
-        self.tell(number, line, &bytes);
-    }
-
-    /// Writes on this line to a server, or on any other.
-    fn tell(&mut self, number: u32, line: Option<Key>, bytes: &[u8]) {
-        let own = line.filter(|key| self.lines.get(*key).is_some_and(|line| !line.ended));
-        if let Some(key) = own.or_else(|| self.any_line(number)) {
-            self.write_wire(key, bytes);
-        }
-    }
-
-    /// The allocation that is out is given up: the server hears of it, unless nothing of it has left.
-    pub(crate) fn give_up(&mut self, play: u64) {
-        let Some(session) = self.sessions.get_mut(&play) else { return };
-        let Some(key) = session.line.take() else { return };
-        session.used.push(key);
-        self.no_more_open(key, play);
-        let bytes = rtsp::request("TEARDOWN", "session", GIVE_UP, play, &[], b"");
-        self.write_wire(key, &bytes);
-    }
-
-    /// A set-up on this line has its answer, or needs none any more.
-    pub(crate) fn no_more_open(&mut self, key: Key, play: u64) {
-        if let Some(wire) = self.wire(key) {
-            wire.open.retain(|(p, _)| *p != play);
-        }
-    }
-
-    /// The sessions that stand at a server, in order.
-    pub(crate) fn standing_at(&self, number: u32) -> Vec<u64> {
-        let here = self.sessions.iter().filter(|(_, s)| s.playing && s.server == Some(number));
-        let mut plays: Vec<u64> = here.map(|(play, _)| *play).collect();
-        plays.sort_unstable();
-        plays
-    }
-
-    pub(crate) fn send_rung(&mut self, play: u64) {
-        let Some(session) = self.sessions.get_mut(&play) else { return };
-        let (Some(server), true) = (session.server, session.playing) else { return };
-        if session.rung == session.rung_sent {
-            return;
-        }
-        session.rung_sent = session.rung;
-        let rung = session.rung.to_string();
-        let line = session.line;
-        self.sums.steps += 1;
-        let bytes = rtsp::request("SET_PARAMETER", "session", OTHER, play, &[("Rate-Step", &rung)], b"");
-        self.tell(server, line, &bytes);
-    }
-}
-
-impl Hands for Floor {
-    fn send(&mut self, play: u64, server: u32, rung: usize, time_out: f64) {
-        let now = self.now();
-        let Some(session) = self.sessions.get_mut(&play) else { return };
-        session.allocations += 1;
-        (session.server, session.since) = (Some(server), now);
-        (session.rung, session.rung_sent) = (rung, rung);
-        let (n, not) = (session.allocations, session.used.clone());
-        self.sums.sent += 1;
-        let Some(key) = self.line_for(server, &not) else {
-            return self.news.push_back(News { play, server, outcome: Outcome::Unreachable });
-        };
-        let Some(session) = self.sessions.get_mut(&play) else { return };
-        session.line = Some(key);
-        let (limit, step) = (time_out.max(1.0).ceil().to_string(), rung.to_string());
-        let fields: [(&str, &str); 3] =
-            [("X-Call-Class", &session.class), ("X-Ring-Limit", &limit), ("Rate-Step", &step)];
-        let bytes = rtsp::request("SETUP", &session.title, SET_UP, play, &fields, &session.description);
-        if let Some(line) = self.lines.get(key) {
-            let begins = line.given();
-            if let Role::Server(wire) = &mut line.role {
-                wire.open.push((play, begins));
-            }
-        }
-        self.write_wire(key, &bytes);
-        self.clock(now + time_out, Clock::TimeOut(play, n));
-    }
-
-    fn withdraw(&mut self, play: u64) {
-        let Some(session) = self.sessions.get(&play) else { return };
-        let Some(server) = session.server else { return };
-        if session.playing {
-            let (line, cause) = (session.line, session.cause);
-            self.cut(server, line, play, cause);
-        } else {
-            self.give_up(play);
-        }
-        self.news.push_back(News { play, server, outcome: Outcome::Withdrawn });
-    }
-
-    fn step(&mut self, play: u64, rung: usize) {
-        if let Some(session) = self.sessions.get_mut(&play) {
-            session.rung = rung;
-        }
-        self.send_rung(play);
-    }
-
-    fn probe(&mut self, server: u32) {
-        self.sums.probes += 1;
-        let Some(key) = self.any_line(server) else { return };
-        let id = self.rnd.rand_u64();
-        let bytes = rtsp::request("OPTIONS", "load", ASK, id, &[], b"");
-        self.write_wire(key, &bytes);
-    }
-
-    fn declined(&mut self, play: u64, pause: f64) {
-        self.sums.declined += 1;
-        self.turn_away(play, REFUSED, pause);
-    }
-
-    fn failed(&mut self, play: u64) {
-        self.sums.failed += 1;
-        self.turn_away(play, FAILED, 0.0);
-    }
-
-    fn wake(&mut self, mark: u32, wait: f64) {
-        let due = self.now() + wait;
-        self.clock(due, Clock::Desk(mark));
-    }
-
-    /// The list is asked for all the time.
-    fn follow(&mut self) {}
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,14 +1,21 @@
 //! The front on the platform's protocol: viewers' binary messages, media servers' RTSP, the list by DNS. `posting` is what a
-//! node is given at start, `node` its loop, `viewers` and `servers` what comes from either, `listing` the list of servers,
-//! `floor` what the desk's hands work with, `shares` how the descriptors are shared out. It decides nothing: where a play
+//! node is given at start, `node` its loop, `stopping` its end, `viewers` and `servers` what comes from either, `attempts` set-ups on
+//! their way, `listing` the list of servers, `floor` what is kept of all that, `hands` what the desk has done, `to_viewers` and
+//! `to_servers` what is written, `ended` what has ended lately, `shares` how the descriptors are shared out. It decides nothing: where a play
 //! goes, and what follows an outcome, the desk is asked.
 
+mod attempts;
+mod ended;
 mod floor;
+mod hands;
 mod listing;
 mod node;
 mod posting;
 mod servers;
 mod shares;
+mod stopping;
+mod to_servers;
+mod to_viewers;
 mod viewers;
 
 pub use node::run;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,11 +1,14 @@
 //! The list of media servers: what is known at the start, and the name service asked for the rest, again and again.
 
-use crate::floor::{Clock, Floor};
+use crate::floor::{Clock, Floor, News};
 use crate::node::Node;
 use crate::posting::Posting;
+use crate::shares::lacks;
+use crate::stopping::SOON;
+use anyhow::Context;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use pulleystair::{Listing, Standing};
+use pulleystair::{Listing, Outcome, Standing};
 use pulleystair_names::{self as names, Entry};
 use std::collections::VecDeque;
 use std::io;
@@ -16,6 +19,8 @@
 /// were signalled together do not ask together. A change is in use well within half a second of being told.
 const ASK: f64 = 200.0;
 const UNEVEN: f64 = 0.25;
+/// Names of zones and of kinds at most, the settings' and others.
+const STRANGE: usize = 4_096;
 /// Questions whose answers are still taken.
 const WAITING: usize = 8;
 /// Of answers in a row that can't be taken, one in so many is warned of.
@@ -31,7 +36,7 @@
     /// The number of the last event that is in use.
     pub(crate) rev: Option<u32>,
     /// An answer has been taken since the start.
-    heard: bool,
+    pub(crate) heard: bool,
     /// What answers are read into; pages that none has filled are not had.
     room: Vec<u8>,
     /// Answers in a row that could not be taken.
@@ -48,13 +53,13 @@
 
 impl Asking {
     pub(crate) fn new(floor: &Floor, rev: Option<u32>, heard: bool) -> anyhow::Result<Asking> {
-        let socket = socket(floor.posting.resolver)?;
+        let socket = socket(floor.posting.resolver).context("resolver")?;
         let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
         let source = floor.handle.insert_source(source, |_, _, node: &mut Node| {
             node.hear();
             Ok(PostAction::Continue)
         });
-        let source = source.map_err(|e| anyhow::anyhow!("{}", e.error))?;
+        let source = source.map_err(|e| anyhow::Error::new(std::io::Error::from(e.error)))?;
         Ok(Asking {
             socket,
             source,
@@ -69,14 +74,13 @@
 }
 
 impl Node {
-    /// The events of the start, or those of a new file, in their order. Before the name service was heard they may be older
-    /// than what they tell of; later they are taken for being newer, and tell of starts as its answers do.
+    /// The events of the start, or those of a new file, as the one list that they come to: events that are long past by then start
+    /// and end nothing. Before the name service was heard the list may be older than what it tells of; later it is taken for being
+    /// newer, and tells of starts as the name service's answers do.
     pub(crate) fn take_known(&mut self) {
-        let notices = std::mem::take(&mut self.floor.posting.known.notices);
-        for notice in &notices {
-            let (whole, lines) = notice.lines();
-            self.take_list(whole, !self.asking.heard, &lines);
-        }
+        let (whole, entries) = self.floor.posting.known.list();
+        self.floor.posting.known.notices.clear();
+        self.take_list(whole, !self.asking.heard, &entries);
         self.asking.rev = Some(self.floor.posting.known.rev);
     }
 
@@ -144,12 +148,11 @@
         }
         for entry in entries {
             let number = self.floor.number(&entry.id);
-            let terms = &self.floor.terms;
-            let at = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0);
+            let terms = &mut self.floor.terms;
             let listing = Listing {
                 server: 0,
-                zone: at(&terms.zones, &entry.zone),
-                kind: at(&terms.kinds, &entry.kind),
+                zone: number_of(&mut terms.zones, &entry.zone, "zone"),
+                kind: number_of(&mut terms.kinds, &entry.kind, "kind"),
                 cell: entry.cell,
                 standing: entry.standing,
                 weight: entry.weight,
@@ -167,33 +170,84 @@
         for (number, born) in restarted {
             self.restarted(number, born);
         }
+        self.stay_away();
+        self.settle();
         self.forget_gone();
     }
 
-    /// The file is read anew; its name service is asked from now on.
-    pub(crate) fn read_anew(&mut self) {
-        let path = self.floor.posting.path.clone();
-        let posting = match Posting::read(&path) {
-            Ok(posting) => posting,
-            Err(e) => return warn!(target: "node", "the old posting stays in force: {e:#}"),
-        };
-        let resolver = posting.resolver;
-        let was = std::mem::replace(&mut self.floor.posting.resolver, resolver);
-        match Asking::new(&self.floor, self.asking.rev, self.asking.heard) {
-            Ok(asking) => {
-                let old = std::mem::replace(&mut self.asking, asking);
-                self.floor.handle.remove(old.source);
-                info!(target: "names", %was, %resolver, "name service changed");
+    /// Set-ups that wait on their lines to servers that take nothing new by now are not sent any more.
+    fn stay_away(&mut self) {
+        let leaving = self.floor.servers.iter().filter(|(_, s)| s.listing.standing != Standing::Ready);
+        let lines: Vec<(u32, u64)> =
+            leaving.flat_map(|(n, s)| s.lines.iter().map(|key| (*n, *key))).collect();
+        for (server, key) in lines {
+            let open: Vec<u64> =
+                self.floor.wire(key).map_or(Vec::new(), |w| w.open.iter().map(|o| o.play).collect());
+            for play in open {
+                if self.floor.take_back(key, play) {
+                    self.floor.news.push_back(News { play, server, outcome: Outcome::NeverSent });
+                }
             }
-            Err(e) => {
-                self.floor.posting.resolver = was;
-                return warn!(target: "node", "the old name service stays in force: {e:#}");
+        }
+    }
+
+    /// The file is read anew; its name service is asked from now on. What fails for lack of a descriptor is tried again: at once if a
+    /// connection that needs none can give way, else soon.
+    pub(crate) fn read_anew(&mut self, again: bool) {
+        let fault = match self.turn_to_file() {
+            Err(e) if is_lack(&e) && self.make_room() => self.turn_to_file().err(),
+            other => other.err(),
+        };
+        match fault {
+            Some(e) if is_lack(&e) => {
+                if !again {
+                    warn!(target: "node", "the old posting stays in force until there is a descriptor: {e:#}");
+                }
+                let soon = self.floor.now() + SOON;
+                self.floor.clock(soon, Clock::Anew);
             }
+            Some(e) => warn!(target: "node", "the old posting stays in force: {e:#}"),
+            None => self.ask(),
         }
+    }
+
+    fn turn_to_file(&mut self) -> anyhow::Result<()> {
+        let posting = Posting::read(&self.floor.posting.path)?;
+        let old = &self.floor.posting;
+        // Another node's file, and maybe another customer's: nothing of it is this one's.
+        if (&posting.name, posting.listen) != (&old.name, old.listen) {
+            let (name, listen) = (&old.name, old.listen);
+            anyhow::bail!("name, listen: {:?} at {}, not {name:?} at {listen}", posting.name, posting.listen);
+        }
+        if posting.sheet != old.sheet {
+            warn!(target: "node", "settings: they have changed; those of the start stay in force until a restart");
+        }
+        let was = std::mem::replace(&mut self.floor.posting.resolver, posting.resolver);
+        let asking = Asking::new(&self.floor, self.asking.rev, self.asking.heard)
+            .inspect_err(|_| self.floor.posting.resolver = was)?;
+        let old = std::mem::replace(&mut self.asking, asking);
+        self.floor.handle.remove(old.source);
+        info!(target: "names", %was, resolver = %posting.resolver, "name service changed");
         if self.asking.rev.is_none_or(|rev| posting.known.rev > rev) {
             self.floor.posting.known = posting.known;
             self.take_known();
         }
-        self.ask();
+        Ok(())
     }
 }
+
+fn is_lack(e: &anyhow::Error) -> bool {
+    e.chain().any(|cause| cause.downcast_ref().is_some_and(lacks))
+}
+
+/// The number of a name in the settings' row. One that the settings lack is none of theirs, nor any other's: it gets a number of its
+/// own beyond them, which no setting is kept under. So many are told apart; those beyond share the last.
+fn number_of(names: &mut Vec<String>, name: &str, what: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or_else(|| {
+        if names.len() < STRANGE {
+            warn!(target: "names", name, "the settings have no such {what}");
+            names.push(name.to_string());
+        }
+        names.len() - 1
+    })
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,28 +23,16 @@
 /// So often are servers looked at, ms, and the sums written.
 pub(crate) const LOOK: f64 = 500.0;
 const SUMS: f64 = 5_000.0;
-/// After SIGTERM connections and set-ups are taken for so long, ms: they keep coming for 0.6 s.
-const OPEN_DOOR: f64 = 900.0;
-/// A node that was told to stop is killed no sooner than this after the longest time limit, which counts as `LONGEST` at
-/// most; by `MARGIN` all that is still owed is answered, ms.
-const LONGEST: f64 = 3_000.0;
-const MARGIN: f64 = 600.0;
-
 pub struct Node {
     pub(crate) desk: Desk,
     pub(crate) floor: Floor,
     pub(crate) asking: Asking,
-    halted: bool,
+    pub(crate) halted: bool,
 }
 
 impl Owner for Node {
     fn line_ready(&mut self, key: Key) {
-        let Some(line) = self.floor.lines.get(key) else { return };
-        match &line.role {
-            Role::Viewer(_) => self.viewer_ready(key),
-            Role::Server(_) => self.wire_ready(key),
-        }
-        self.settle();
+        self.look_at(key);
     }
 }
 
@@ -76,7 +64,7 @@
         })?;
     node.floor.door = Some((door, listener));
     handle.insert_source(signals, |event, (), node| match event.signal() {
-        Signal::SIGHUP => node.read_anew(),
+        Signal::SIGHUP => node.read_anew(false),
         Signal::SIGXFSZ => {}
         _ => node.stop(),
     })?;
@@ -85,34 +73,56 @@
     node.floor.clock(now + LOOK, Clock::Look);
     node.floor.clock(now + SUMS, Clock::Sums);
     info!(target: "node", name = node.floor.posting.name, %at, servers = node.floor.servers.len(), shares = ?node.floor.shares, "listens");
+    // What has been read decides before what has come due: in one turn, connections that are ready are read before clocks ring.
     while !(node.done() && node.nothing_came()) {
         let wait = node.floor.next_clock();
         event_loop.dispatch(wait, &mut node)?;
-        node.ring();
         for _ in 0..node.floor.again.len() {
             let Some(key) = node.floor.again.pop_front() else { break };
-            node.line_ready(key);
-        }
-        while node.desk.turn_ends(node.floor.now(), &mut node.floor) {
-            node.settle();
+            node.look_at(key);
         }
+        node.ring();
+        node.end_turn();
     }
     info!(target: "node", sums = ?node.floor.sums, open = node.floor.deciding, standing = node.floor.sessions.len(), "stopped");
     Ok(())
 }
 
 impl Node {
+    /// Takes what has come on a connection.
+    pub(crate) fn look_at(&mut self, key: Key) {
+        let Some(line) = self.floor.lines.get(key) else { return };
+        match &line.role {
+            Role::Viewer(_) => drop(self.viewer_ready(key)),
+            Role::Server(_) => self.wire_ready(key),
+        }
+        self.settle();
+    }
+
+    /// The desk asks anew about what waits, and what it wants sent goes out.
+    pub(crate) fn end_turn(&mut self) {
+        self.take_up_held();
+        loop {
+            let asked = self.desk.turn_ends(self.floor.now(), &mut self.floor);
+            self.settle();
+            if !self.send_out() && !asked {
+                return;
+            }
+        }
+    }
+
     fn ring(&mut self) {
         loop {
             let now = self.floor.now();
             let Some((_, clock)) = self.floor.clocks.pop(now) else { return };
             match clock {
                 Clock::Desk(mark) => self.desk.rings(now, mark, &mut self.floor),
-                Clock::TimeOut(play, n) => self.time_out(now, play, n),
+                Clock::TimeOut(play, number) => self.time_out(play, number),
                 Clock::Line(key) => self.line_due(now, key),
                 Clock::Ask => self.ask_if_due(now),
                 Clock::Look => {
                     self.look_at_servers(now);
+                    self.floor.cut_again(now);
                     if enabled!(target: "belief", tracing::Level::DEBUG) {
                         self.write_beliefs();
                     }
@@ -122,17 +132,13 @@
                     let floor = &self.floor;
                     info!(target: "sums", sums = ?floor.sums, open = floor.deciding, sessions = floor.sessions.len(),
                         held = self.desk.held(), viewers = floor.viewers.len(), wires = floor.wires_open(),
-                        servers = floor.servers.len(), owed = floor.owed.len(), clocks = floor.clocks.len());
+                        servers = floor.servers.len(), owed = floor.owed.len(), cuts = floor.cuts.len(), clocks = floor.clocks.len());
                     self.forget_gone();
                     self.floor.clock(now + SUMS, Clock::Sums);
                 }
-                Clock::Door => {
-                    // Whoever waits in its queue was accepted by the machine, and counts as taken.
-                    self.accept();
-                    if let Some((door, _)) = self.floor.door.take() {
-                        self.floor.handle.remove(door);
-                    }
-                }
+                Clock::Door => self.close_door(),
+                Clock::Accept => self.open_door(),
+                Clock::Anew => self.read_anew(true),
                 Clock::Stop => self.answer_all(),
             }
             self.settle();
@@ -145,7 +151,7 @@
             return;
         }
         // The loop may be behind: what has come by now counts.
-        self.line_ready(key);
+        self.look_at(key);
         let Some(line) = self.floor.lines.get(key).filter(|line| line.due <= now) else { return };
         line.due = f64::INFINITY;
         let connected = line.connected() == Some(true);
@@ -159,53 +165,19 @@
         }
     }
 
-    /// No new plays once the door is closed; a second signal ends at once.
-    fn stop(&mut self) {
-        if self.floor.stopping.is_some() {
-            self.halted = true;
-            return;
-        }
-        let now = self.floor.now();
-        self.floor.stopping = Some(now);
-        info!(target: "node", open = self.floor.deciding, standing = self.floor.sessions.len(), "stopping");
-        let last = now + self.floor.terms.longest.min(LONGEST) + MARGIN;
-        self.floor.clock(last, Clock::Stop);
-        self.floor.clock(now + OPEN_DOOR, Clock::Door);
-    }
-
-    /// Told to stop, and nothing is owed to a viewer any more.
-    fn done(&self) -> bool {
-        let unwritten = |role: &Role| matches!(role, Role::Viewer(_));
-        let owes = self.floor.door.is_some() || self.floor.deciding > 0 || self.floor.lines.waits(unwritten);
-        self.halted || self.floor.stopping.is_some() && !owes
-    }
-
-    /// Takes what has come and was not looked at yet, which may be more to answer; true once there is nothing.
-    fn nothing_came(&mut self) -> bool {
-        if !self.halted {
-            self.accept();
-            for key in self.floor.lines.keys() {
-                self.line_ready(key);
-            }
-        }
-        self.done()
-    }
-
-    /// What is still open is answered, as the end comes before its time.
-    fn answer_all(&mut self) {
-        self.nothing_came();
-        self.desk.time_is_up(self.floor.now(), &mut self.floor);
-        self.settle();
-        self.halted = true;
-    }
-
     /// A server has started anew: what stood there before does no more.
+    /// Connections to the process before it lead nowhere any more.
     pub(crate) fn restarted(&mut self, number: u32, born: f64) {
         for play in self.floor.standing_at(number) {
             if self.floor.sessions.get(&play).is_some_and(|s| s.since < born) {
                 self.stood(play, number, Outcome::Broken, FAILED, &[]);
             }
         }
+        for key in self.floor.servers.get(&number).map(|s| s.lines.clone()).unwrap_or_default() {
+            if self.floor.wire(key).is_some_and(|wire| wire.dialled < born) {
+                self.wire_lost(key);
+            }
+        }
     }
 
     /// Servers that are gone and have nothing left are forgotten, in every layer.
--- a/crates/node/src/posting.rs
+++ b/crates/node/src/posting.rs
@@ -50,6 +50,8 @@
     pub stay_away: f64,
     /// The longest of the products' time limits, ms.
     pub longest: f64,
+    /// A server closes a connection that was idle for so long, ms; infinite where the settings name no such time.
+    pub idle: f64,
     /// Set-ups that a connection to a server may carry at once.
     pub streams: usize,
 }
@@ -69,6 +71,10 @@
         it.salt = u64::from_str_radix(&it.seed, 16)
             .map_err(|e| anyhow!("{}: seed: {:?} are no hex digits: {e}", place(), it.seed))?;
         it.settings = serde_json::Value::Null;
+        // A node without classes could take no set-up, and would turn every viewer away as one that makes no sense.
+        if it.terms().products.is_empty() {
+            return Err(anyhow!("{}: settings: lanes[0].name is missing: no class is named", place()));
+        }
         it.path = path.to_path_buf();
         Ok(it)
     }
@@ -90,6 +96,7 @@
             dial: number("ceilings.dial_timeout", 250.0).max(1.0),
             tells: number("extra.reports_every", 0.0),
             stay_away: if heeded { number("ceilings.max_retry_after", 0.0) } else { 0.0 },
+            idle: Some(number("ceilings.idle_close", 0.0)).filter(|ms| *ms > 0.0).unwrap_or(f64::INFINITY),
             streams: number("ceilings.streams_per_conn", 100.0).max(1.0) as usize,
         }
     }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,8 @@
 //! What comes from media servers: answers to set-ups, the notes and ends of sessions that stand, reports, and the loss of
 //! connections.
 
-use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, News, OWED, READ, Role, Server, WITHDRAWN};
+use crate::ended::Word;
+use crate::floor::{ASK, ENDED, FAILED, GIVE_UP, OWED, READ, Role, Server, Session, WITHDRAWN};
 use crate::node::{LOOK, Node};
 use pulleystair::{Figure, Outcome};
 use pulleystair_lines::Key;
@@ -35,7 +36,7 @@
             let number = wire.server;
             let newly = !std::mem::replace(&mut wire.up, true);
             if came || newly {
-                wire.heard = now;
+                (wire.heard, wire.stirred) = (now, now);
                 line.due = f64::INFINITY;
                 if let Some(server) = self.floor.servers.get_mut(&number) {
                     (server.heard, server.lost) = (now, 0);
@@ -47,7 +48,7 @@
                 match self.server_messages(key, number, &input) {
                     Some(used) => {
                         let Some(line) = self.floor.lines.get(key) else { return };
-                        line.input = input[used..].to_vec();
+                        line.put_back(input, used);
                     }
                     None => return self.wire_lost(key),
                 }
@@ -95,7 +96,15 @@
         let play = message.session;
         let load: Vec<Figure> =
             message.report().filter_map(|(name, value)| pulleystair_sheet::figure(name, value)).collect();
-        let session = self.floor.sessions.get(&play).filter(|s| s.server == Some(server));
+        // An answer for a viewer that has gone by now is not for it any more.
+        let waits = |s: &&Session| !s.playing && message.cseq() != Some(ASK);
+        if let (Start::Answer(200), Some(session)) =
+            (&message.start, self.floor.sessions.get(&play).filter(waits))
+        {
+            self.viewer_ready(session.viewer);
+        }
+        let known = self.floor.sessions.get(&play);
+        let session = known.filter(|s| s.server == Some(server));
         let stands = session.is_some_and(|s| s.playing);
         let out = session.is_some_and(|s| !s.playing && s.line == Some(key));
         match &message.start {
@@ -105,7 +114,8 @@
                 self.desk.report(now, server, &load, &mut self.floor);
             }
             Start::Answer(200) if out => self.plays(now, key, server, play, &message.body, &load),
-            Start::Answer(200) if stands => {}
+            // Of an attempt given up on another line; the same id is out there again, or stands, and an end would be taken for its.
+            Start::Answer(200) if session.is_some() => self.floor.sums.late += 1,
             Start::Answer(200) => {
                 // Late, or nobody's: what was given up must not stand.
                 self.floor.sums.late += 1;
@@ -118,7 +128,7 @@
                     504 => Outcome::Broken,
                     _ => Outcome::Error,
                 };
-                self.allocation_ended(play, server, outcome, &load);
+                self.attempt_ended(play, server, outcome, &load);
             }
             Start::Answer(_) => {}
             Start::Request(method) => match method.as_str() {
@@ -131,7 +141,11 @@
                     };
                     self.stood(play, server, outcome, cause, &load);
                 }
-                "TEARDOWN" if out => self.allocation_ended(play, server, Outcome::Broken, &load),
+                "TEARDOWN" if known.is_none() => {
+                    let cause = message.cause().unwrap_or(FAILED);
+                    self.floor.ended.note(now, play, Word::Server(cause));
+                }
+                "TEARDOWN" if out => self.attempt_ended(play, server, Outcome::Broken, &load),
                 "REDIRECT" if stands => self.stood(play, server, Outcome::Withdrawn, FAILED, &load),
                 "ANNOUNCE" if stands => {
                     let (Some(why), Some(amount)) = (message.field("X-Why"), message.number("Figure")) else {
@@ -161,7 +175,7 @@
         self.floor.no_more_open(key, play);
         let Some(bytes) = signal::write(kind::ANSWER, play, &[(code::DESCRIPTION, description)]) else {
             self.floor.cut(server, Some(key), play, WITHDRAWN);
-            return self.allocation_ended(play, server, Outcome::Error, load);
+            return self.attempt_ended(play, server, Outcome::Error, load);
         };
         let Some(session) = self.floor.sessions.get_mut(&play) else { return };
         session.playing = true;
@@ -180,28 +194,11 @@
         self.floor.send_rung(play);
     }
 
-    /// An allocation that was out has ended without a play.
-    pub(crate) fn allocation_ended(&mut self, play: u64, server: u32, outcome: Outcome, load: &[Figure]) {
-        let now = self.floor.now();
-        if let Some(session) = self.floor.sessions.get_mut(&play).filter(|s| s.server == Some(server)) {
-            let key = session.line.take();
-            session.server = None;
-            let waited = now - session.since;
-            if let Some(key) = key {
-                self.floor.no_more_open(key, play);
-            }
-            debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), ?outcome, waited, "allocation ended");
-        }
-        self.desk.ended(now, play, server, outcome, false, load, &mut self.floor);
-        if self.desk.play(play).is_none() {
-            self.floor.sessions.remove(&play);
-        }
-    }
-
     /// A session that stood is over, by its server's word or loss: the viewer is told, unless it ended it itself.
     pub(crate) fn stood(&mut self, play: u64, server: u32, outcome: Outcome, cause: u8, load: &[Figure]) {
         let now = self.floor.now();
         let Some(session) = self.floor.sessions.remove(&play) else { return };
+        self.floor.ended.note(now, play, Word::Both);
         if let Some(server) = self.floor.servers.get_mut(&server) {
             server.playing = server.playing.saturating_sub(1);
         }
@@ -223,6 +220,7 @@
         self.desk.left(play, &mut self.floor);
         // The desk has had it withdrawn; that is told as news, and the session is gone by then.
         let Some(session) = self.floor.sessions.remove(&play) else { return };
+        self.floor.ended.note(now, play, Word::Both);
         if let Some(number) = session.server {
             if let Some(server) = self.floor.servers.get_mut(&number) {
                 server.playing = server.playing.saturating_sub(1);
@@ -243,10 +241,10 @@
         let (playing, left) = self.floor.servers.get(&number).map_or((0, 0), |s| (s.playing, s.lines.len()));
         let id = self.floor.id_of(number);
         debug!(target: "server", id, up, open = open.len(), playing, left, "line lost");
-        for (play, begins) in open {
+        for it in open {
             // Nothing of a set-up that has not begun to leave can have run.
-            let outcome = if !up || gone <= begins { Outcome::Unreachable } else { Outcome::Broken };
-            self.allocation_ended(play, number, outcome, &[]);
+            let outcome = if !up || gone <= it.begins { Outcome::Unreachable } else { Outcome::Broken };
+            self.attempt_ended(it.play, number, outcome, &[]);
         }
         if let Some(server) = self.floor.servers.get_mut(&number) {
             server.lost += u32::from(!up);
@@ -263,8 +261,7 @@
 
     /// Makes a connection to a server that has plays and none: it may have something to say, or be gone.
     fn call(&mut self, number: u32) {
-        let gone = |s: &Server| s.address.is_none() || s.is_gone();
-        if self.floor.servers.get(&number).is_some_and(gone) {
+        if self.floor.servers.get(&number).is_some_and(|s| s.address.is_none() || s.is_gone()) {
             return self.server_lost(number);
         }
         // One that can't be dialled for want of descriptors is called at the next look.
@@ -292,7 +289,10 @@
         let notes = terms.tells * 1.25 + SILENCE;
         let most = notes.max(OWED - HASTE - f64::from(CALLS) * (terms.dial + LOOK));
         let late = |s: &Server| now - s.heard > if s.is_gone() { notes } else { most };
-        let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() || late(s));
+        // A server that was named by a hand-over alone may be on the list that is still to come.
+        let vouched = self.asking.heard;
+        let may_come = |s: &Server| s.address.is_none() && !vouched;
+        let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() && !may_come(s) || late(s));
         let mut silent: Vec<u32> =
             self.floor.servers.iter().filter(|(_, s)| silent(s)).map(|(number, _)| *number).collect();
         silent.sort_unstable();
@@ -303,37 +303,4 @@
             }
         }
     }
-
-    /// An allocation has had its time.
-    pub(crate) fn time_out(&mut self, now: f64, play: u64, n: u32) {
-        let Some(session) = self.floor.sessions.get(&play) else { return };
-        if session.allocations != n || session.playing {
-            return;
-        }
-        let (Some(server), Some(key), since) = (session.server, session.line, session.since) else { return };
-        let mut unsent = false;
-        if let Some(line) = self.floor.lines.get(key) {
-            let (up, gone) = (line.connected() == Some(true), line.gone());
-            if let Role::Server(wire) = &mut line.role {
-                let begins = wire.open.iter().find(|(p, _)| *p == play).map_or(0, |o| o.1);
-                unsent = !up || gone <= begins;
-                // Silent since this set-up went out: it may never speak again.
-                wire.tired |= wire.heard < since;
-            }
-        }
-        if unsent {
-            // Bytes that wait on it would run later.
-            return self.wire_lost(key);
-        }
-        debug!(target: "play", play = format!("{play:016x}"), server = self.floor.id_of(server), waited = now - since, "timed out");
-        self.floor.give_up(play);
-        self.allocation_ended(play, server, Outcome::TimedOut, &[]);
-        self.settle();
-    }
-
-    pub(crate) fn settle(&mut self) {
-        while let Some(News { play, server, outcome }) = self.floor.news.pop_front() {
-            self.allocation_ended(play, server, outcome, &[]);
-        }
-    }
 }
--- a/crates/node/src/shares.rs
+++ b/crates/node/src/shares.rs
@@ -20,3 +20,11 @@
         Shares { viewers: left - servers, servers }
     }
 }
+
+/// `EMFILE`, `ENFILE`, `ENOBUFS`, `ENOMEM`: there is no descriptor, or no memory for one, by now.
+const LACKS: [i32; 4] = [24, 23, 105, 12];
+
+/// Whether something failed for lack of what may be there again soon.
+pub fn lacks(e: &std::io::Error) -> bool {
+    e.raw_os_error().is_some_and(|e| LACKS.contains(&e))
+}
--- /dev/null
+++ b/crates/node/src/to_viewers.rs
@@ -0,0 +1,87 @@
+//! What is written to viewers: final answers, and the ends of sessions that stood.
+
+use crate::floor::{Floor, OWED, OWED_MOST, Role, UNREAD};
+use pulleystair_lines::Key;
+use pulleystair_signal::{self as signal, code, kind};
+use std::net::IpAddr;
+use tracing::debug;
+
+impl Floor {
+    /// Writes on a viewer's line; one that does not read is closed.
+    pub(crate) fn write_viewer(&mut self, key: Key, bytes: &[u8]) {
+        let Some(line) = self.lines.get(key) else { return };
+        line.write(bytes);
+        line.flush();
+        if line.ended || line.pending() > UNREAD {
+            line.ended = true;
+            self.again.push_back(key);
+        }
+    }
+
+    /// The final answer of a play that does not run.
+    pub(crate) fn turn_away(&mut self, play: u64, cause: u8, pause: f64) {
+        let Some(session) = self.sessions.remove(&play) else { return };
+        self.answered(session.viewer, play);
+        self.tell_release(session.viewer, play, cause, pause);
+    }
+
+    /// A refusal, a failure or the end of what stood, under an id that need not have been taken.
+    pub(crate) fn tell_release(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
+        let pause = format!("{}", pause.ceil().max(0.0));
+        let mut parameters: Vec<(u8, &[u8])> = vec![(code::CAUSE, std::slice::from_ref(&cause))];
+        if pause != "0" {
+            parameters.push((code::STAY_AWAY, pause.as_bytes()));
+        }
+        if let Some(bytes) = signal::write(kind::RELEASE, play, &parameters) {
+            self.write_viewer(key, &bytes);
+        }
+    }
+
+    /// A set-up has its answer, or needs none any more.
+    pub(crate) fn answered(&mut self, key: Key, play: u64) {
+        self.deciding = self.deciding.saturating_sub(1);
+        if let Some(viewer) = self.viewer(key) {
+            viewer.open.retain(|p| *p != play);
+        }
+    }
+
+    /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
+    pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
+        let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
+        debug!(target: "play", play = format!("{play:016x}"), cause, own = key == Some(viewer), waits = key.is_none(), "over");
+        match key {
+            Some(key) => self.tell_release(key, play, cause, 0.0),
+            None if self.owed.len() < OWED_MOST => self.owed.push_back((play, cause, self.now())),
+            None => {}
+        }
+    }
+
+    /// The latest connection on which a viewer of that address has asked for something, else of any.
+    fn way_to(&mut self, from: Option<IpAddr>) -> Option<Key> {
+        let mut other = None;
+        for key in self.viewers.clone().into_iter().rev() {
+            let Some(line) = self.lines.get(key) else { continue };
+            let asks = matches!(&line.role, Role::Viewer(viewer) if viewer.proven);
+            let own = line.from() == from;
+            if !asks || !own && other.is_some() || !self.is_there(key) {
+                continue;
+            }
+            if own {
+                return Some(key);
+            }
+            other = Some(key);
+        }
+        other
+    }
+
+    /// A viewer's connection has proven to be one: what is owed goes out on it.
+    pub(crate) fn pay(&mut self, key: Key) {
+        let now = self.now();
+        while let Some((play, cause, since)) = self.owed.pop_front() {
+            debug!(target: "play", play = format!("{play:016x}"), waited = now - since, "release that waited");
+            if now - since < OWED {
+                self.tell_release(key, play, cause, 0.0);
+            }
+        }
+    }
+}
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,7 +1,10 @@
 //! What comes from viewers: set-ups, what gives them up, the ends of sessions, and tests.
 
+use crate::ended::Word;
 use crate::floor::{BUSY, Clock, READ, Role, Session, UNUSABLE, Viewer, WITHDRAWN};
 use crate::node::Node;
+use crate::shares::lacks;
+use crate::stopping::SOON;
 use pulleystair_desk::Wish;
 use pulleystair_lines::Key;
 use pulleystair_signal::{Message, code, kind};
@@ -22,10 +25,6 @@
 /// The longest time that a viewer may say that it waits, ms.
 const LONGEST: f64 = 600_000.0;
 
-/// `EMFILE`, `ENFILE`: no descriptor is left.
-const TOO_MANY: i32 = 24;
-const TOO_MANY_IN_ALL: i32 = 23;
-
 /// A set-up as it was read.
 struct Asked {
     wish: Wish,
@@ -36,20 +35,21 @@
 }
 
 impl Node {
-    pub(crate) fn accept(&mut self) {
-        let Some(listener) = self.floor.door.as_ref().map(|door| door.1.clone()) else { return };
+    /// Takes whoever waits at the door; false if there was no descriptor for some.
+    pub(crate) fn accept(&mut self) -> bool {
+        let Some(listener) = self.floor.door.as_ref().map(|door| door.1.clone()) else { return true };
         loop {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => continue,
                 // Out of descriptors: whoever waits gets the place of one that has brought nothing.
-                Err(e)
-                    if matches!(e.raw_os_error(), Some(TOO_MANY | TOO_MANY_IN_ALL)) && self.make_room() =>
-                {
-                    continue;
+                Err(e) if lacks(&e) && self.make_room() => continue,
+                Err(e) if lacks(&e) => {
+                    self.rest_door();
+                    return false;
                 }
-                Err(_) => return,
+                Err(_) => return true,
             };
             // With set-ups open on all, some more are let in to be told so.
             let most = self.floor.shares.viewers;
@@ -72,9 +72,24 @@
         }
     }
 
+    /// With no descriptor for whoever waits at the door, it would be ready at once, again and again; it is left for a moment.
+    fn rest_door(&mut self) {
+        if let Some((door, _)) = &self.floor.door {
+            let _ = self.floor.handle.disable(door);
+            let now = self.floor.now();
+            self.floor.clock(now + SOON, Clock::Accept);
+        }
+    }
+
+    pub(crate) fn open_door(&mut self) {
+        if let Some((door, _)) = &self.floor.door {
+            let _ = self.floor.handle.enable(door);
+        }
+    }
+
     /// Closes the oldest connection that has brought nothing, else the oldest with no open set-up; those on which sessions
     /// stand come last, as their viewers hear of the end there. What has come by now is taken first.
-    fn make_room(&mut self) -> bool {
+    pub(crate) fn make_room(&mut self) -> bool {
         let floor = &mut self.floor;
         let holds: HashSet<Key> = floor.sessions.values().filter(|s| s.playing).map(|s| s.viewer).collect();
         let mut idle: Vec<(bool, bool, Key)> = Vec::new();
@@ -119,29 +134,33 @@
         }
     }
 
-    pub(crate) fn viewer_ready(&mut self, key: Key) {
+    /// Takes what has come; false if that was more than a turn takes, and there may be more.
+    pub(crate) fn viewer_ready(&mut self, key: Key) -> bool {
         for _ in 0..TURN {
-            let Some(line) = self.floor.lines.get(key) else { return };
+            let Some(line) = self.floor.lines.get(key) else { return true };
             line.flush();
             let came = line.read(READ);
             let ended = line.ended;
             if !line.input.is_empty() {
                 let input = std::mem::take(&mut line.input);
                 let used = self.messages(key, &input);
-                let Some(line) = self.floor.lines.get(key) else { return };
-                match used {
-                    Some(used) => line.input = input[used..].to_vec(),
-                    None => return self.viewer_gone(key),
-                }
+                let Some(line) = self.floor.lines.get(key) else { return true };
+                let Some(used) = used else {
+                    self.viewer_gone(key);
+                    return true;
+                };
+                line.put_back(input, used);
             }
             if ended {
-                return self.viewer_gone(key);
+                self.viewer_gone(key);
+                return true;
             }
             if !came {
-                return;
+                return true;
             }
         }
         self.floor.again.push_back(key);
+        false
     }
 
     /// Takes the whole messages off; none where the connection is to be closed.
@@ -172,9 +191,14 @@
         match message.kind {
             kind::SET_UP => return self.set_up(key, message),
             kind::RELEASE => {
-                let Some(session) = self.floor.sessions.get_mut(&play) else { return true };
+                let cause = message.cause().unwrap_or(WITHDRAWN);
+                let Some(session) = self.floor.sessions.get_mut(&play) else {
+                    let now = self.floor.now();
+                    self.floor.ended.note(now, play, Word::Viewer(cause));
+                    return true;
+                };
                 if session.playing {
-                    session.cause = message.cause().unwrap_or(WITHDRAWN);
+                    session.cause = cause;
                     self.over(play);
                     self.prove(key);
                 } else if session.viewer == key {
@@ -266,6 +290,13 @@
         let from = line.from();
         // Its viewer keeps the connection while the session stands, to hear of its end.
         self.prove(key);
+        match self.floor.ended.of(now, play) {
+            None => {}
+            // It has ended already, and the word of that came first.
+            Some(Word::Server(WITHDRAWN) | Word::Both) => return,
+            Some(Word::Server(cause)) => return self.floor.release(play, key, from, cause),
+            Some(Word::Viewer(cause)) => return self.floor.cut(server, None, play, cause),
+        }
         let wish = asked.wish;
         let mut it = session(key, from, asked);
         (it.server, it.playing, it.since) = (Some(server), true, now);
@@ -355,7 +386,7 @@
         line: None,
         playing: false,
         since: 0.0,
-        allocations: 0,
+        attempts: 0,
         used: Vec::new(),
         rung: 0,
         rung_sent: 0,
