Cold servers: a front's rate of asks goes by the time it has watched, not by a minute

At fault: pace.rs gap() divided the asks of the last minute by a minute, also where a front had watched for some seconds; it reckoned with too few others that ask, and all first turns had opened when the crowd came. Change: the asks go over the time watched, a warm-up at least. The bound stands at the head of pace.rs as an inequality. What a front goes by is shown by shown.rs, which decides nothing; a class that is named is sold though its importance is missing.

--- a/src/logic/facts.rs
+++ b/src/logic/facts.rs
@@ -11,6 +11,7 @@
     /// until discovery speaks, lest a front that restarts rush a server that restarted meanwhile.
     pub fn list(&mut self, now: f64, whole: bool, cached: bool, lines: &[Listing]) {
         let unit = self.rule("extra.link_unit_kb", 1.0);
+        self.since = self.since.min(now);
         if whole {
             self.servers.iter_mut().for_each(|s| s.listing.standing = Standing::Gone);
         }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -3,13 +3,14 @@
 //! send this play, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long until
 //! it is to be asked about again). `placing` has a play's ordinary path, `facts` what is told and what
 //! follows, `room` links and what they carry, `pace` turns at cold and doubted servers, `rungs` the steps of
-//! quality.
+//! quality; `shown` decides nothing.
 
 mod facts;
 mod pace;
 mod placing;
 mod room;
 mod rungs;
+mod shown;
 
 use crate::{CallSheet, Value, number};
 use room::{Pipe, Server, meeting};
@@ -60,6 +61,8 @@
     further: VecDeque<f64>,
     /// When a cached list made all servers count as cold.
     cached: f64,
+    /// Since when it has listed servers, and so counts what is asked of them.
+    since: f64,
 }
 
 fn text(sheet: &CallSheet, name: &str) -> String {
@@ -93,7 +96,9 @@
                 seats: extra("seats", 0.0) as usize,
             }
         };
-        let count = (0..).take_while(|i| sheet.contains_key(&format!("products.{i}.importance"))).count();
+        let named = |i: &usize| sheet.contains_key(&format!("products.{i}.name"));
+        let worth = |i: &usize| sheet.contains_key(&format!("products.{i}.importance"));
+        let count = (0..).take_while(|i| named(i) || worth(i)).count();
         let products = (0..count).map(product).collect();
         let racks = number(&sheet, "extra.cabinets", 1.0).clamp(1.0, 65_536.0) as usize;
         // A rack's share of all uplinks goes by its part of the cells.
@@ -123,38 +128,11 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             cached: -1.0,
+            since: f64::MAX,
             sheet,
         }
     }
 
-    /// All that it goes by now, under the call sheet's names.
-    pub fn goes_by(&self) -> CallSheet {
-        let mut it = self.sheet.clone();
-        let mut put = |name: String, x: f64| it.insert(name, Value::Number(x));
-        for (i, (kb, earns)) in self.ladder.iter().zip(&self.earns).enumerate() {
-            put(format!("extra.ladder_kb.{i}"), *kb);
-            put(format!("extra.rung_worth.{i}"), *earns);
-        }
-        for (i, p) in self.products.iter().enumerate() {
-            put(format!("products.{i}.importance"), p.importance);
-            put(format!("products.{i}.first_frame_target"), p.target);
-            put(format!("products.{i}.repeat_window"), p.repeat_window);
-            put(format!("extra.class_floor.{i}"), p.floor as f64);
-            put(format!("extra.class_scale.{i}"), p.scale);
-            put(format!("extra.seats.{i}"), p.seats as f64);
-        }
-        it
-    }
-
-    /// Goes by another figure from now on: a rule's, or a product's floor.
-    pub fn go_by(&mut self, name: &str, value: f64) {
-        let of = name.strip_prefix("extra.class_floor.").and_then(|i| i.parse::<usize>().ok());
-        if let Some(product) = of.and_then(|i| self.products.get_mut(i)) {
-            product.floor = (value.max(0.0) as usize).min(self.ladder.len() - 1);
-        }
-        self.sheet.insert(name.to_string(), Value::Number(value));
-    }
-
     /// Whether the call sheet names this product.
     pub fn sells(&self, product: usize) -> bool {
         product < self.products.len()
--- a/src/logic/pace.rs
+++ b/src/logic/pace.rs
@@ -1,4 +1,13 @@
 //! When a cold or doubted server may be sent the next play, so that all fronts together do not push it over.
+//!
+//! The bound: within the window in which it would fall, a server's budget is N = overload factor * its pace *
+//! window, and beyond that 2 root N + 2 are chance. F fronts, of which the part A is asked for it within the
+//! warm-up, send F * A / gap * window, as their first turns are spread over one gap by rank. Each keeps
+//!     gap >= F * A / (PACED * overload factor * pace),   so that the sum's mean is <= PACED * N < N,
+//! unaided: A is reckoned by its own rate alone, over the time that it has watched (MEMORY at most, a warm-up
+//! at least), and a flood raises it by what came of late. Whatever its rate, a front's own mean is then at most
+//! PACED * N / F, so that uneven rates don't raise the sum. One that restarts does not know what it sent: it
+//! takes one turn more at most, and reckons a high A until it has watched for long.
 
 use super::{Front, MEMORY};
 use crate::Play;
@@ -48,7 +57,8 @@
         // ask if all asked at this front's own rate, over the last minute or, in a flood, of late.
         let cold = now < server.cold_since + warm_up && server.cold_since != self.cached;
         let lately = (self.wanted - 1.0).max(0.0) / RECENT * server.link.size / self.fleet;
-        let rate = (server.asks.0 / MEMORY).max(lately);
+        let watched = MEMORY * (1.0 - (-(now - self.since).max(warm_up) / MEMORY).exp());
+        let rate = (server.asks.0 / watched).max(lately);
         let asking = if cold { 1.0 - (-rate * warm_up).exp() } else { 0.0 };
         let fronts = (self.fronts * asking).max(server.link.fronts);
         // What is lent are parts of all fronts; what is doubted on hearsay all try as often as one would.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -620,3 +620,15 @@
     let servers: Vec<usize> = (0..8).map(|_| host.start(0, 1).1).collect();
     assert_eq!(servers, vec![0; 8]);
 }
+
+/// A class that is named is sold, whatever else the settings leave out of it.
+#[test]
+fn a_class_without_an_importance_is_sold() {
+    let mut sheet = host::sheet(&[], "read_like");
+    sheet.remove("products.0.importance");
+    for (i, name) in ["plain", "dear"].iter().enumerate() {
+        sheet.insert(format!("products.{i}.name"), pulleystair::Value::Text((*name).into()));
+    }
+    let front = pulleystair::logic::Front::new(sheet, 7);
+    assert!(front.sells(0) && front.sells(1) && !front.sells(2));
+}
