--- a/crates/edge/tests/crossings.rs
+++ b/crates/edge/tests/crossings.rs
@@ -72,7 +72,7 @@
     let mut viewer = stage.node.viewer();
     // A connection that has been up for long: no clock of its own has it read.
     let mut wire = stage.stands(&mut viewer, 100);
-    viewer.waits_a_turn();
+    stage.has_read(&mut viewer);
     viewer.say(&set_up(103, &[HERE]));
     let asked = wire.wants("SETUP");
     let mut kept = None;
@@ -100,7 +100,7 @@
     let stage = stage();
     let mut viewer = stage.node.viewer();
     let mut wire = stage.stands(&mut viewer, 100);
-    viewer.waits_a_turn();
+    stage.has_read(&mut viewer);
     viewer.say(&set_up(105, &[HERE]));
     let asked = wire.wants("SETUP");
     stage.node.meanwhile(|| {
@@ -158,12 +158,12 @@
     let mut stage = late_stage(&PATIENT);
     let mut viewer = stage.node.viewer();
     viewer.say(&set_up(107, &[HERE, LONG]));
-    viewer.waits_a_turn();
+    stage.has_read(&mut viewer);
     let kept = goes(viewer, 107, how);
     let mut next = stage.node.viewer();
-    next.waits_a_turn();
+    stage.has_read(&mut next);
     next.say(&set_up(108, &[HERE, LONG]));
-    next.waits_a_turn();
+    stage.has_read(&mut next);
     stage.hosts[0].comes_up();
     assert_eq!(stage.next_at(0).1.session(), 108, "it is the first on the first connection");
     drop(kept);
@@ -174,7 +174,7 @@
     let mut stage = late_stage(&PATIENT);
     let mut viewer = stage.node.viewer();
     viewer.say(&set_up(109, &[HERE, LONG]));
-    viewer.waits_a_turn();
+    stage.has_read(&mut viewer);
     let mut draining = stage.hosts[0].record();
     draining.draining = true;
     stage.names.change(|zone| (zone.serial, zone.records) = (2, vec![draining]));
@@ -185,6 +185,18 @@
     assert!(wire.next().is_none(), "nothing was sent on it");
 }
 
+/// A connection that is not up when the time of a set-up on it rings may never be: the next attempt goes on another.
+#[test]
+fn a_further_attempt_does_not_wait_for_the_connection_that_was_too_late() {
+    let mut stage = late_stage(&[PATIENT[0], (r#""aimUs":2000000"#, r#""aimUs":600000"#)]);
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(117, &[HERE, LONG]));
+    // 0.6 s of the node's own time and more: that of one attempt is 0.2 s.
+    stage.names.asked(5);
+    stage.hosts[0].comes_up();
+    let (_first, _second) = (stage.hosts[0].accept(), stage.hosts[0].accept());
+}
+
 /// Two paid set-ups wait on one connection; the first is taken back. The second goes out whole, and has left when the connection is
 /// reset: it may have run, and is not made again.
 #[test]
@@ -195,10 +207,10 @@
     let (mut first, mut second) = (stage.node.viewer(), stage.node.viewer());
     for (viewer, play) in [(&mut first, 110), (&mut second, 111)] {
         viewer.say(&set_up(play, &[HERE, LONG]));
-        viewer.waits_a_turn();
+        stage.has_read(viewer);
     }
     first.say(&message(RELEASE, 110, &[(45, &[16])]));
-    first.waits_a_turn();
+    stage.has_read(&mut first);
     stage.hosts[0].comes_up();
     let (wire, asked) = stage.next_at(0);
     assert_eq!((asked.session(), asked.body.as_str()), (111, DESCRIPTION));
--- a/crates/edge/tests/peers/viewers.rs
+++ b/crates/edge/tests/peers/viewers.rs
@@ -96,12 +96,6 @@
         told
     }
 
-    /// A turn of the node's loop has begun and ended since the last word of this viewer.
-    pub fn waits_a_turn(&mut self) {
-        self.hears_nothing();
-        self.hears_nothing();
-    }
-
     /// What comes before the answer to a test: nothing else was on its way.
     pub fn hears_nothing(&mut self) {
         self.say(&message(52, 77, &[(45, &[0])]));
--- a/crates/edge/tests/stage/mod.rs
+++ b/crates/edge/tests/stage/mod.rs
@@ -49,6 +49,13 @@
         wire
     }
 
+    /// What this viewer has said was read, and the turn in which it was has ended: of two further questions for the list, the later
+    /// is asked in a later one.
+    pub fn has_read(&self, viewer: &mut Viewer) {
+        viewer.hears_nothing();
+        self.names.asked(2);
+    }
+
     /// The next set-up of a play, at whichever host it comes.
     pub fn next_at(&self, host: usize) -> (Wire, peers::Asked) {
         let mut wire = self.hosts[host].accept();
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -64,8 +64,8 @@
         let Some((server, line)) = out(self) else { return };
         let since = self.floor.sessions.get(&play).map_or(0.0, |session| session.since);
         if let Some(wire) = line.and_then(|key| self.floor.wire(key)) {
-            // Silent since this set-up went out: it may never speak again.
-            wire.tired |= wire.up && wire.heard < since;
+            // Not up by now, or silent since this set-up went out: it may never speak.
+            wire.tired |= !wire.up || wire.heard < since;
         }
         let unsent = self.floor.give_up(play);
         let waited = self.floor.now() - since;
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -101,7 +101,12 @@
             let Some(line) = self.lines.get(*key) else { continue };
             let Role::Server(wire) = &line.role else { continue };
             let closing = wire.open.is_empty() && now - wire.stirred > idle;
-            if wire.tired || closing || not.contains(key) || wire.open.len() >= self.terms.streams {
+            if wire.tired
+                || line.ended
+                || closing
+                || not.contains(key)
+                || wire.open.len() >= self.terms.streams
+            {
                 continue;
             }
             let it = (!wire.up, wire.open.len(), *key);
