--- a/crates/desk/tests/cold_fleet.rs
+++ b/crates/desk/tests/cold_fleet.rs
@@ -85,7 +85,7 @@
     weights: Vec<f64>,
     listings: Vec<Listing>,
     playing: BTreeMap<u32, usize>,
-    /// Set-ups at the servers that have started lately: when and by whom.
+    /// When the servers that have started lately were sent set-ups.
     cold: BTreeMap<u32, Vec<f64>>,
     plays: u64,
 }
@@ -153,7 +153,7 @@
             plays: 0,
         };
         for front in 0..fleet.fronts {
-            day.tell(front);
+            day.tell(front, false);
             day.asks(front);
         }
         day
@@ -172,9 +172,9 @@
         self.after(wait, Event::Ask(front));
     }
 
-    fn tell(&mut self, front: usize) {
+    fn tell(&mut self, front: usize, cached: bool) {
         let lines: Vec<(u32, Listing)> = self.listings.iter().map(|l| (l.server as u32, *l)).collect();
-        self.call(front, &mut |desk, now, _| desk.list(now, true, false, &lines));
+        self.call(front, &mut |desk, now, _| desk.list(now, true, cached, &lines));
     }
 
     fn load(&self, server: u32) -> Vec<Figure> {
@@ -289,14 +289,12 @@
                     self.after(wait, Event::Restarts(front));
                 }
             }
-            Event::Told(front) => self.tell(front),
+            Event::Told(front) => self.tell(front, false),
             Event::Restarts(front) => {
                 self.starts[front] += 1;
                 let seed = self.seed * 1_000 + front as u64 + 7_777 * self.starts[front];
                 self.desks[front] = Desk::new(sheet(&self.fleet, front), seed);
-                let lines: Vec<(u32, Listing)> =
-                    self.listings.iter().map(|l| (l.server as u32, *l)).collect();
-                self.call(front, &mut |desk, now, _| desk.list(now, true, true, &lines));
+                self.tell(front, true);
                 self.after(200.0, Event::Told(front));
             }
             Event::Wake(..) => {}
--- a/crates/edge/tests/crossings.rs
+++ b/crates/edge/tests/crossings.rs
@@ -5,7 +5,7 @@
 mod stage;
 
 use peers::{DESCRIPTION, Host, Names, Node, Viewer, message, set_up};
-use stage::{ANSWER, HERE, RELEASE, Stage, stage, stage_told};
+use stage::{ANSWER, HERE, RELEASE, Stage, stage, stage_told, stage_with};
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -132,16 +132,7 @@
 
 /// A stage whose first host's connections come up only when it is told to.
 fn late_stage(otherwise: &[(&str, &str)]) -> Stage {
-    let hosts = vec![Host::late("s-0000000a", 0), Host::start("s-0000000b", 1)];
-    let names = Names::start(hosts.iter().map(Host::record).collect());
-    let all: Vec<&Host> = hosts.iter().collect();
-    let mut posting = Node::posting(names.at, &all, 256, 3_000_000);
-    for (was, is) in otherwise {
-        assert!(posting.contains(was), "{was}");
-        posting = posting.replace(was, is);
-    }
-    let node = Node::start(&posting);
-    Stage { node, names, hosts }
+    stage_with(vec![Host::late("s-0000000a", 0), Host::start("s-0000000b", 1)], 256, otherwise)
 }
 
 /// The node waits for connections for 10 s, and for answers for 30 s.
--- a/crates/edge/tests/crossings_ends.rs
+++ b/crates/edge/tests/crossings_ends.rs
@@ -5,7 +5,7 @@
 mod stage;
 
 use peers::{DESCRIPTION, Host, Manner, Names, Node, message, set_up};
-use stage::{ANSWER, HERE, Stage, stage, stage_told};
+use stage::{ANSWER, HERE, stage, stage_told, stage_with};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -66,11 +66,8 @@
 /// Its viewer ends a session as the node stops, and the connection to its server is still being made.
 #[test]
 fn an_end_on_its_way_to_a_server_keeps_a_node_that_stops() {
-    let hosts = vec![Host::late("s-0000000a", 0)];
-    let names = Names::start(hosts.iter().map(Host::record).collect());
-    let posting = Node::posting(names.at, &[&hosts[0]], 256, 3_000_000);
-    let patient = posting.replace(r#""dialTimeoutUs":250000"#, r#""dialTimeoutUs":10000000"#);
-    let mut stage = Stage { node: Node::start(&patient), names, hosts };
+    let patient = (r#""dialTimeoutUs":250000"#, r#""dialTimeoutUs":10000000"#);
+    let mut stage = stage_with(vec![Host::late("s-0000000a", 0)], 256, &[patient]);
     let mut viewer = stage.node.viewer();
     let mut both = set_up(204, &[(18, "home:0;copies:1;top:1;at:s-0000000a"), (6, "0")]);
     both.extend(message(stage::RELEASE, 204, &[(45, &[19])]));
@@ -147,18 +144,6 @@
     assert_eq!(viewer.hears(stage::RELEASE, 206).cause(), 100);
 }
 
-#[test]
-fn no_class_in_the_settings_ends_the_start_with_place_and_cause() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let path = folder.path().join("config.json");
-    let posting = Node::posting(([127, 0, 0, 1], 9).into(), &[], 256, 3_000_000);
-    std::fs::write(&path, posting.replace(r#""lanes""#, r#""rows""#)).expect("a file");
-    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_pulleystair-edge"));
-    let out = command.arg("node").env("PROXY_CONFIG", &path).output().expect("it runs");
-    let said = String::from_utf8_lossy(&out.stderr).to_string();
-    assert!(out.status.code() == Some(1) && said.contains("settings: lanes[0].name"), "{said}");
-}
-
 /// A zone that the settings do not name is not the first that they name.
 #[test]
 fn a_zone_that_the_settings_do_not_name_is_nobodys_home() {
--- a/crates/edge/tests/node_life.rs
+++ b/crates/edge/tests/node_life.rs
@@ -189,6 +189,7 @@
 #[test_case(r#""effect":"read_like""#, r#""effect":"as_you_like""#, "settings: lanes[0].effect is"; "a word that is not known")]
 #[test_case("[100.0,200.0]", "[200.0,100.0]", "settings: extra.ladderKb[1] is 100.0"; "a ladder that falls")]
 #[test_case(r#""coldUs":0"#, r#""coldUs":-1"#, "settings: rules.coldUs is -1"; "out of range")]
+#[test_case(r#""lanes""#, r#""rows""#, "settings: lanes[0].name"; "no class")]
 fn settings_that_cannot_be_meant_end_the_start_with_place_and_cause(was: &str, is: &str, fault: &str) {
     let posting = Node::posting(([127, 0, 0, 1], 9).into(), &[], 256, 3_000_000);
     assert!(posting.contains(was));
--- a/crates/edge/tests/stage/mod.rs
+++ b/crates/edge/tests/stage/mod.rs
@@ -21,7 +21,11 @@
 
 /// A stage whose node is told otherwise in places of its settings.
 pub fn stage_told(sockets: usize, otherwise: &[(&str, &str)]) -> Stage {
-    let hosts = vec![Host::start("s-0000000a", 0), Host::start("s-0000000b", 1)];
+    stage_with(vec![Host::start("s-0000000a", 0), Host::start("s-0000000b", 1)], sockets, otherwise)
+}
+
+/// The same between these hosts.
+pub fn stage_with(hosts: Vec<Host>, sockets: usize, otherwise: &[(&str, &str)]) -> Stage {
     let names = Names::start(hosts.iter().map(Host::record).collect());
     let all: Vec<&Host> = hosts.iter().collect();
     let mut posting = Node::posting(names.at, &all, sockets, 3_000_000);
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -29,19 +29,17 @@
     }
 
     fn begin(&mut self, it: Attempt) {
-        let Some(viewer) = self.floor.awaited_by(&it) else { return };
+        let Some((_, viewer)) = self.floor.to_begin(&it) else { return };
         if !self.viewer_ready(viewer) {
             return self.floor.held.push(it);
         }
-        if self.floor.awaited_by(&it).is_none() {
-            debug!(target: "play", play = format!("{:016x}", it.session), "its viewer has gone: not sent");
-            return;
-        }
-        let Some(server) = self.floor.sessions.get(&it.session).and_then(|s| s.server) else { return };
+        let Some((server, _)) = self.floor.to_begin(&it) else {
+            return debug!(target: "play", play = format!("{:016x}", it.session), "its viewer has gone: not sent");
+        };
         let (play, standing) = (it.session, self.floor.servers.get(&server).map(|s| s.listing.standing));
         let outcome = if standing != Some(Standing::Ready) {
             Outcome::NeverSent
-        } else if !self.floor.begin(&it) {
+        } else if !self.floor.begin(&it, server) {
             Outcome::Unreachable
         } else {
             self.floor.sums.sent += 1;
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -141,6 +141,11 @@
     pub(crate) fn is_gone(&self) -> bool {
         self.listing.standing == Standing::Gone
     }
+
+    /// Where it can be called: none while no list has told of it, or once one says that it is no more.
+    pub(crate) fn callable(&self) -> Option<SocketAddr> {
+        self.address.filter(|_| !self.is_gone())
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -278,4 +283,14 @@
             Role::Viewer(_) => None,
         }
     }
+
+    /// Whether a connection is still open at its other end, as far as can be told. What comes meanwhile is acted on at the line's
+    /// own turn.
+    pub(crate) fn is_there(&mut self, key: Key) -> bool {
+        let Some(line) = self.lines.get(key) else { return false };
+        if line.read(READ) || line.ended {
+            self.again.push_back(key);
+        }
+        self.lines.get(key).is_some_and(|line| !line.ended)
+    }
 }
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -3,8 +3,7 @@
 use crate::floor::{Clock, Floor, News};
 use crate::node::Node;
 use crate::posting::Posting;
-use crate::shares::lacks;
-use crate::stopping::SOON;
+use crate::shares::{SOON, lacks};
 use anyhow::Context;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -261,7 +261,7 @@
 
     /// Makes a connection to a server that has plays and none: it may have something to say, or be gone.
     fn call(&mut self, number: u32) {
-        if self.floor.servers.get(&number).is_some_and(|s| s.address.is_none() || s.is_gone()) {
+        if self.floor.servers.get(&number).is_some_and(|s| s.callable().is_none()) {
             return self.server_lost(number);
         }
         // One that can't be dialled for want of descriptors is called at the next look.
--- a/crates/node/src/shares.rs
+++ b/crates/node/src/shares.rs
@@ -24,6 +24,9 @@
 /// `EMFILE`, `ENFILE`, `ENOBUFS`, `ENOMEM`: there is no descriptor, or no memory for one, by now.
 const LACKS: [i32; 4] = [24, 23, 105, 12];
 
+/// What could not be done for want of a descriptor is tried again after so long, ms.
+pub const SOON: f64 = 50.0;
+
 /// Whether something failed for lack of what may be there again soon.
 pub fn lacks(e: &std::io::Error) -> bool {
     e.raw_os_error().is_some_and(|e| LACKS.contains(&e))
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -2,6 +2,7 @@
 
 use crate::floor::Clock;
 use crate::node::Node;
+use crate::shares::SOON;
 use tracing::{info, warn};
 
 /// After SIGTERM connections and set-ups are taken for so long, ms: they keep coming for 0.6 s.
@@ -10,8 +11,6 @@
 /// most; by `MARGIN` all that is still owed is answered, ms.
 const LONGEST: f64 = 3_000.0;
 const MARGIN: f64 = 600.0;
-/// What could not be done for want of a descriptor is tried again after so long, ms.
-pub(crate) const SOON: f64 = 50.0;
 
 impl Node {
     /// No new plays once the door is closed. A further signal changes nothing: what was taken by then is owed its answer all the
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -1,6 +1,8 @@
 //! What is written to media servers, and the connections to them.
 
-use crate::floor::{Cut, Floor, GIVE_UP, OTHER, OWED, OWED_MOST, Open, READ, Role, SET_UP, Server, Wire};
+use crate::floor::{
+    Attempt, Clock, Cut, Floor, GIVE_UP, OTHER, OWED, OWED_MOST, Open, Role, SET_UP, Server, Wire,
+};
 use pulleystair_lines::Key;
 use pulleystair_rtsp as rtsp;
 use tracing::debug;
@@ -24,11 +26,7 @@
 
     /// A new connection to a server that is listed.
     pub(crate) fn dial(&mut self, number: u32) -> Option<Key> {
-        let server = self.servers.get(&number)?;
-        let address = server.address?;
-        if server.is_gone() {
-            return None;
-        }
+        let address = self.servers.get(&number)?.callable()?;
         if self.wires_open() >= self.shares.servers && !self.spare_wire() {
             return None;
         }
@@ -46,7 +44,7 @@
         if let Some(line) = self.lines.get(key) {
             line.due = due;
         }
-        self.clock(due, crate::floor::Clock::Line(key));
+        self.clock(due, Clock::Line(key));
         Some(key)
     }
 
@@ -177,8 +175,7 @@
     }
 
     fn tell_cut(&mut self, line: Option<Key>, mut cut: Cut) {
-        let own = line.filter(|key| self.lines.get(*key).is_some_and(|line| !line.ended));
-        let Some(key) = own.or_else(|| self.any_line(cut.server)) else {
+        let Some(key) = self.this_or_any(cut.server, line) else {
             if self.cuts.len() < OWED_MOST {
                 self.cuts.push_back(cut);
             }
@@ -196,37 +193,29 @@
     /// Ends that no line could carry are told again, until whoever plays there must have heard of it otherwise.
     pub(crate) fn cut_again(&mut self, now: f64) {
         for cut in std::mem::take(&mut self.cuts) {
-            let there = self.servers.get(&cut.server).is_some_and(|s| s.address.is_some() && !s.is_gone());
+            let there = self.servers.get(&cut.server).is_some_and(|s| s.callable().is_some());
             if there && now - cut.since < OWED {
                 self.tell_cut(None, cut);
             }
         }
     }
 
-    /// Writes on this line to a server, or on any other.
-    fn tell(&mut self, number: u32, line: Option<Key>, bytes: &[u8]) {
+    /// This line to a server, or any other.
+    fn this_or_any(&mut self, number: u32, line: Option<Key>) -> Option<Key> {
         let own = line.filter(|key| self.lines.get(*key).is_some_and(|line| !line.ended));
-        if let Some(key) = own.or_else(|| self.any_line(number)) {
-            self.write_wire(key, bytes);
-        }
+        own.or_else(|| self.any_line(number))
     }
 
-    /// What of an attempt is still to be sent, if its session waits for that.
-    fn unsent(&self, it: &crate::floor::Attempt) -> Option<(u32, Key)> {
+    /// The server and the viewer's connection of an attempt that is still to begin; none once its session waits for it no more.
+    pub(crate) fn to_begin(&self, it: &Attempt) -> Option<(u32, Key)> {
         let session = self.sessions.get(&it.session)?;
         let waits = session.attempts == it.number && !session.playing && session.line.is_none();
         Some((session.server.filter(|_| waits)?, session.viewer))
     }
 
-    /// The connection of the viewer for whom this attempt is still to begin.
-    pub(crate) fn awaited_by(&self, it: &crate::floor::Attempt) -> Option<Key> {
-        self.unsent(it).map(|(_, viewer)| viewer)
-    }
-
     /// The attempt begins: its set-up is written. False where there is no way to its server.
-    pub(crate) fn begin(&mut self, it: &crate::floor::Attempt) -> bool {
+    pub(crate) fn begin(&mut self, it: &Attempt, server: u32) -> bool {
         let now = self.now();
-        let Some((server, _)) = self.unsent(it) else { return true };
         let not = self.sessions.get(&it.session).map(|s| s.used.clone()).unwrap_or_default();
         let Some(key) = self.line_for(server, &not) else { return false };
         let Some(session) = self.sessions.get_mut(&it.session) else { return true };
@@ -304,16 +293,8 @@
         let line = session.line;
         self.sums.steps += 1;
         let bytes = rtsp::request("SET_PARAMETER", "session", OTHER, play, &[("Rate-Step", &rung)], b"");
-        self.tell(server, line, &bytes);
-    }
-
-    /// Whether a connection is still open at its other end, as far as can be told. What comes meanwhile is acted on at the line's
-    /// own turn.
-    pub(crate) fn is_there(&mut self, key: Key) -> bool {
-        let Some(line) = self.lines.get(key) else { return false };
-        if line.read(READ) || line.ended {
-            self.again.push_back(key);
+        if let Some(key) = self.this_or_any(server, line) {
+            self.write_wire(key, &bytes);
         }
-        self.lines.get(key).is_some_and(|line| !line.ended)
     }
 }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -3,8 +3,7 @@
 use crate::ended::Word;
 use crate::floor::{BUSY, Clock, READ, Role, Session, UNUSABLE, Viewer, WITHDRAWN};
 use crate::node::Node;
-use crate::shares::lacks;
-use crate::stopping::SOON;
+use crate::shares::{SOON, lacks};
 use pulleystair_desk::Wish;
 use pulleystair_lines::Key;
 use pulleystair_signal::{Message, code, kind};
--- a/src/logic/pace.rs
+++ b/src/logic/pace.rs
@@ -5,9 +5,9 @@
 //! warm-up, send F * A / gap * window, as their first turns are spread over one gap by rank. Each keeps
 //!     gap >= F * A / (PACED * overload factor * pace),   so that the sum's mean is <= PACED * N < N,
 //! unaided: A is reckoned by its own rate alone, over the time that it has watched (MEMORY at most, a warm-up
-//! at least), and a flood raises it by what came of late. Whatever its rate, a front's own mean is then at most
-//! PACED * N / F, so that uneven rates don't raise the sum. One that restarts does not know what it sent: it
-//! takes one turn more at most, and reckons a high A until it has watched for long.
+//! at least), and a flood raises it by what came of late. Whatever its rate, a front's own mean is then at
+//! most PACED * N / F, so that uneven rates don't raise the sum. One that restarts does not know what it
+//! sent: it takes one turn more at most, and reckons a high A until it has watched for long.
 
 use super::{Front, MEMORY};
 use crate::Play;
