--- a/crates/edge/tests/failures.rs
+++ b/crates/edge/tests/failures.rs
@@ -3,16 +3,11 @@
 
 mod house;
 
-use house::{House, base, day, get, set_ups, text};
+use house::{House, base, closed, day, get, patient, set_ups, text};
 use pulleystair_boxes::content;
-use pulleystair_boxes::files::put;
 use pulleystair_boxes::wire::Peer;
-use pulleystair_dash::token::{Entry, Ring};
-use pulleystair_lab::fronts::portal;
 use pulleystair_lab::stage::Listed;
-use pulleystair_witness::{Seen, What};
 use serde_json::json;
-use std::time::Duration;
 use test_case::test_case;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpSocket, TcpStream};
@@ -20,43 +15,6 @@
 const FREE: usize = 0;
 const PAID: usize = 1;
 
-fn closed(seen: &[Seen]) -> usize {
-    seen.iter().filter(|s| matches!(s.what, What::Closed { .. })).count()
-}
-
-/// A day on which a set-up is waited for as long as the viewer waits.
-fn patient() -> serde_json::Value {
-    let mut day = day();
-    day["rules"]["allocations"] = json!(1);
-    day["products"][FREE]["time_limit_ms"] = json!(20_000);
-    day
-}
-
-fn log_of(house: &House) -> String {
-    house.log_of(0)
-}
-
-/// The most set-ups that were out at once, each until its server was done or saw its connection end. A connection that
-/// the front has closed may be seen to end a little after the next set-up is.
-fn most_out(house: &House) -> usize {
-    const SEEN_LATE: f64 = 25.0;
-    let seen = house.log.taken();
-    let mut spans: std::collections::BTreeMap<&str, (f64, f64)> = Default::default();
-    for s in &seen {
-        match &s.what {
-            What::SetUp { allocation, .. } => {
-                spans.insert(allocation, (s.at, f64::INFINITY));
-            }
-            What::Done { allocation, .. } | What::Closed { allocation } => {
-                spans.entry(allocation).and_modify(|span| span.1 = span.1.min(s.at));
-            }
-            _ => {}
-        }
-    }
-    let out = |at: f64| spans.values().filter(|(from, to)| *from <= at && at < *to - SEEN_LATE).count();
-    spans.values().map(|(from, _)| out(*from)).max().unwrap_or(0)
-}
-
 #[tokio::test]
 async fn a_play_from_manifest_to_last_segment() {
     let house = House::open().await;
@@ -212,7 +170,7 @@
             Ok(n) => read += n,
         }
         // What lies in buffers may still be read; the front's end of it shows as soon as it is gone.
-        let log = log_of(&house);
+        let log = house.log_of(0);
         if log.contains("too slow") {
             let mut rest = Vec::new();
             let _ = slow.stream.read_to_end(&mut rest).await;
@@ -247,7 +205,7 @@
     let (house, target) = with_segments(json!({ "tries": 50, "free": 100 })).await;
     house.ail(ill);
     let (fetched, ()) = tokio::join!(house.get(&target), async {
-        house.until_true("a further try", || log_of(&house).contains("Again")).await;
+        house.until_true("a further try", || house.log_of(0).contains("Again")).await;
         house.ail(|a| (a.cut, a.stall) = (0.0, 0.0));
     });
     assert_eq!(fetched.status, 200);
@@ -316,7 +274,7 @@
     }
     house
         .until_true("the front has read the list", || {
-            let log = log_of(&house);
+            let log = house.log_of(0);
             log.matches("list taken").count() >= 2
         })
         .await;
@@ -363,7 +321,7 @@
     let file = house.folder().join("list.json");
     let whole = std::fs::read_to_string(&file).expect("the list is there");
     let says = |what: &str| {
-        let log = log_of(&house);
+        let log = house.log_of(0);
         log.matches(what).count()
     };
     std::fs::write(&file, &whole[..whole.len() / 2]).expect("the list is written");
@@ -388,7 +346,7 @@
     std::fs::write(&file, list.to_string()).expect("the list is written");
     house
         .until_true("the front has read the list", || {
-            let log = log_of(&house);
+            let log = house.log_of(0);
             log.matches("list taken").count() >= 2
         })
         .await;
@@ -399,305 +357,3 @@
     assert_eq!(house.ask("p", PAID).await.status, 200);
     house.kept();
 }
-
-#[tokio::test]
-async fn a_thousand_requests_at_once_against_a_limit_of_two_hundred() {
-    let mut day = patient();
-    day["limits"] = json!({ "deciding": 200 });
-    day["admission"] = json!({ "least": 200, "most": 200, "work_ms": 1e9, "behind_ms": 1e9 });
-    let house = House::of(day).await;
-    // Two seconds of work: by then far more than two hundred have asked, on any machine.
-    house.ail(|a| a.slow = 400.0);
-    let mut asking = Vec::new();
-    for i in 0..1000 {
-        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
-    }
-    let (mut played, mut limited) = (0, 0);
-    for one in asking {
-        let answer = one.answer().await;
-        played += usize::from(answer.status == 200);
-        let at_limit = text(&answer).contains("limit of deciding");
-        assert!(!at_limit || answer.status == 503 && answer.header("retry-after").is_some());
-        limited += usize::from(at_limit);
-    }
-    assert!(played >= 100 && limited >= 100, "{played} played, {limited} were told of the limit");
-    let most = most_out(&house);
-    assert!(most <= 200, "{most} set-ups out at once");
-    house.kept();
-}
-
-#[tokio::test]
-async fn a_crowd_waits_for_its_turn_and_whoever_can_not_be_served_in_time_is_told() {
-    let mut day = day();
-    day["rules"]["allocations"] = json!(1);
-    day["admission"] = json!({
-        "least": 8, "most": 8, "queue": 100, "reserve_ms": 400, "work_ms": 1e9, "behind_ms": 1e9,
-    });
-    let house = House::of(day).await;
-    // A list that is told anew vouches for its servers: none is taken for cold, which has a pace of its own.
-    house.stage.list(0, Listed::Ready { started: 0.0 });
-    house.says("list taken", 2).await;
-    // Eight set-ups of 100 ms at once, for a second and a bit: under a hundred of three hundred.
-    house.ail(|a| a.slow = 20.0);
-    let mut asking = Vec::new();
-    for i in 0..300 {
-        asking.push(house.ask_at(0, &format!("s{i}"), FREE).await);
-    }
-    // Some of those that wait leave.
-    asking.drain(250..260).for_each(|one| one.leave());
-    let (mut played, mut crowded) = (0, 0);
-    for one in asking {
-        let answer = one.answer().await;
-        played += usize::from(answer.status == 200);
-        crowded += usize::from(answer.status == 503 && text(&answer).contains("too many plays"));
-    }
-    assert!(played >= 8 && crowded >= 100, "{played} played, {crowded} were told");
-    let most = most_out(&house);
-    assert!(most <= 8, "{most} set-ups out at once");
-    house.kept();
-}
-
-fn entry(house: &House) -> Entry {
-    let (product, title) = (house.day.products[FREE].name.clone(), house.titles[FREE].name.clone());
-    Entry { jti: "s".into(), sub: "v".into(), product, title, top: 1, exp: u64::MAX >> 12 }
-}
-
-#[tokio::test]
-async fn tokens_that_open_nothing_cost_no_allocation() {
-    let house = House::open().await;
-    let good = portal().sign(&entry(&house));
-    let forged = Ring::new(&[("portal-1".into(), vec![9; 32])]).unwrap().sign(&entry(&house));
-    let unknown = Ring::new(&[("portal-9".into(), vec![9; 32])]).unwrap().sign(&entry(&house));
-    let expired = portal().sign(&Entry { exp: 1, ..entry(&house) });
-    let other = house.token("p", PAID);
-    let title = &house.titles[FREE].name;
-    for (token, status) in
-        [("", 401), ("a.b.c", 401), (&forged, 401), (&unknown, 401), (&expired, 410), (&other, 403)]
-    {
-        let answer = house.get(&format!("/v1/free/{title}/manifest.mpd?token={token}")).await;
-        assert_eq!(answer.status, status, "{token:.20}");
-        let segment = house.get(&format!("/s/{token}/0/1.m4s")).await;
-        assert!([401, 404].contains(&segment.status), "no pass: {}", segment.status);
-    }
-    assert_eq!(house.get(&format!("/v1/free/none/manifest.mpd?token={good}")).await.status, 403);
-    assert!(house.set_ups().is_empty());
-    let bearer = format!(
-        "GET /v1/free/{title}/manifest.mpd HTTP/1.1\r\nHost: f\r\nAuthorization: Bearer {good}\r\n\r\n"
-    );
-    assert_eq!(house.send(&bearer).await.unwrap().status, 200);
-    let theirs = portal().sign(&Entry { sub: "w".into(), ..entry(&house) });
-    let answer = house.get(&format!("/v1/free/{title}/manifest.mpd?token={theirs}")).await;
-    assert_eq!(answer.status, 403, "another viewer's session");
-    let log = log_of(&house);
-    assert!(!log.is_empty() && !log.contains(&good[..20]), "no token in a log");
-}
-
-#[test_case("GET / HTTP/1.1\r\nHost: f\r\n\r\n", 404; "nothing there")]
-#[test_case("POST /v1/free/x/manifest.mpd HTTP/1.1\r\nHost: f\r\n\r\n", 405; "another method")]
-#[test_case("POST / HTTP/1.1\r\nHost: f\r\nContent-Length: 3\r\n\r\nabc", 413; "a body")]
-#[test_case("nonsense\r\n\r\n", 400; "nonsense")]
-#[tokio::test]
-async fn a_request_that_can_not_be_served_is_told_so(request: &str, status: u16) {
-    let house = House::open().await;
-    assert_eq!(house.send(request).await.unwrap().status, status);
-}
-
-#[tokio::test]
-async fn connections_and_heads_are_bounded() {
-    let mut day = day();
-    day["limits"] = json!({ "connections": 3, "header_bytes": 2048, "header_ms": 200, "idle_ms": 60000 });
-    let house = House::of(day).await;
-    let long = format!("GET /{} HTTP/1.1\r\nHost: f\r\n\r\n", "x".repeat(4000));
-    assert_eq!(house.send(&long).await.unwrap().status, 431);
-    // A head that never comes whole.
-    assert_eq!(house.send("GET / HTTP/1.1\r\nHo").await.unwrap().status, 408);
-    let mut held = Vec::new();
-    for _ in 0..3 {
-        held.push(TcpStream::connect(house.at[0]).await.expect("a connection"));
-    }
-    house.until_true("all three are taken", || true).await;
-    let refused = house.send(&get("/")).await.expect("a word before it closes");
-    assert_eq!((refused.status, refused.header("retry-after")), (503, Some("1")));
-    drop(held);
-}
-
-/// Puts these keys in service, a portal's and a front's by their numbers, and waits until the front has looked.
-async fn put_keys(house: &House, entry: &[u8], pass: &[u8], revoked: &[&str]) {
-    let looked =
-        || log_of(house).matches("keys taken").count() + log_of(house).matches("keys not taken").count();
-    let before = looked();
-    let keys = |kind: &str, numbers: &[u8]| -> Vec<serde_json::Value> {
-        let one = |n: &u8| {
-            let file = format!("{kind}-{n}.key");
-            std::fs::write(house.folder().join(&file), secret(*n)).expect("a key is written");
-            json!({ "kid": format!("{kind}-{n}"), "file": file })
-        };
-        numbers.iter().map(one).collect()
-    };
-    let it = json!({ "entry": keys("portal", entry), "pass": keys("pass", pass), "revoked": revoked });
-    put(&house.folder().join("keys.json"), it.to_string()).expect("keys are replaced");
-    house.until_true("the front has looked at the keys", || looked() > before).await;
-}
-
-fn secret(n: u8) -> Vec<u8> {
-    vec![b'a' + n; 40]
-}
-
-/// Asks for a session with a token of this portal key; the status.
-async fn ask_with(house: &House, key: u8, session: &str) -> u16 {
-    let token = Ring::new(&[(format!("portal-{key}"), secret(key))])
-        .expect("a ring")
-        .sign(&Entry { jti: session.into(), ..entry(house) });
-    house.get(&format!("/v1/free/{}/manifest.mpd?token={token}", house.titles[FREE].name)).await.status
-}
-
-#[tokio::test]
-async fn keys_replaced_ten_times_drop_no_play() {
-    let mut day = day();
-    day["limits"] = json!({ "keys_poll_ms": 20 });
-    let house = House::of(day).await;
-    let first = house.ask("s", FREE).await;
-    for n in 2..12 {
-        put_keys(&house, &[n, n + 1], &[n], &[]).await;
-        assert_eq!(ask_with(&house, n, &format!("s{n}")).await, 200);
-        let segment = house.get(&format!("{}0/1.m4s", base(&first))).await;
-        assert_eq!(segment.status, 200, "its pass is read within the overlap");
-    }
-    assert_eq!(ask_with(&house, 2, "old").await, 200, "so is an entry token");
-    assert_eq!(ask_with(&house, 20, "unknown").await, 401);
-    assert_eq!(house.set_ups().len(), 12);
-    assert!(!log_of(&house).contains(std::str::from_utf8(&secret(3)).unwrap()), "no secret in a log");
-    house.kept();
-}
-
-#[tokio::test]
-async fn a_key_is_read_no_more_once_its_overlap_is_over() {
-    let mut day = day();
-    day["limits"] = json!({ "keys_poll_ms": 20, "key_overlap_ms": 1000 });
-    let house = House::of(day).await;
-    put_keys(&house, &[2], &[2], &[]).await;
-    put_keys(&house, &[3], &[3], &[]).await;
-    let start = tokio::time::Instant::now();
-    while ask_with(&house, 2, "old").await != 401 {
-        assert!(start.elapsed() < Duration::from_secs(20), "it is read for ever");
-    }
-    assert_eq!(ask_with(&house, 3, "new").await, 200);
-}
-
-#[tokio::test]
-async fn a_bad_set_of_keys_is_refused_whole() {
-    let mut day = day();
-    day["limits"] = json!({ "keys_poll_ms": 20 });
-    let house = House::of(day).await;
-    put_keys(&house, &[2], &[2], &[]).await;
-    let refused = |n: usize| log_of(&house).matches("keys not taken").count() == n;
-    // The portal's keys are good, the front's too many: neither is taken.
-    put_keys(&house, &[3], &[3, 4, 5, 6], &[]).await;
-    assert!(refused(1) && log_of(&house).contains("4 keys"));
-    assert_eq!((ask_with(&house, 3, "a").await, ask_with(&house, 2, "b").await), (401, 200));
-    std::fs::write(house.folder().join("keys.json"), "{ \"entry\": [").expect("half a file is written");
-    house.until_true("it is refused", || refused(2)).await;
-    // Another secret under a known id.
-    std::fs::write(house.folder().join("pass-2.key"), secret(9)).expect("a key is written");
-    let same = json!({
-        "entry": [{ "kid": "portal-2", "file": "portal-2.key" }], "pass": [{ "kid": "pass-2", "file": "pass-2.key" }],
-    });
-    std::fs::write(house.folder().join("keys.json"), same.to_string()).expect("keys are written");
-    house.until_true("it is refused", || refused(3)).await;
-    assert!(log_of(&house).contains("a new secret needs a new id"));
-    assert_eq!(ask_with(&house, 2, "c").await, 200);
-}
-
-#[tokio::test]
-async fn a_revoked_session_ends_and_does_not_come_again() {
-    let mut day = day();
-    day["limits"] = json!({ "keys_poll_ms": 20 });
-    let house = House::of(day).await;
-    put_keys(&house, &[2], &[2], &[]).await;
-    assert_eq!(ask_with(&house, 2, "bad").await, 200);
-    assert_eq!(ask_with(&house, 2, "good").await, 200);
-    put_keys(&house, &[2], &[2], &["bad", "later"]).await;
-    house.until("its end at the server", |seen| closed(seen) == 1).await;
-    assert_eq!(ask_with(&house, 2, "bad").await, 403);
-    assert_eq!(ask_with(&house, 2, "later").await, 403);
-    assert_eq!(ask_with(&house, 2, "good").await, 200);
-    assert_eq!(house.set_ups().len(), 2);
-}
-
-#[tokio::test]
-async fn a_pass_is_renewed_by_its_use_and_runs_out_in_a_pause() {
-    let mut day = day();
-    day["limits"] = json!({ "pass_ms": 3000, "skew_ms": 0, "play_idle_ms": 60_000 });
-    let house = House::of(day).await;
-    let manifest = house.ask("s", FREE).await;
-    let target = format!("{}0/init.mp4", base(&manifest));
-    let start = tokio::time::Instant::now();
-    // Well past its own time, which is whole seconds.
-    while start.elapsed() < Duration::from_millis(4600) {
-        assert_eq!(house.get(&target).await.status, 200, "after {:?}", start.elapsed());
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    tokio::time::sleep(Duration::from_millis(3200)).await;
-    assert_eq!(house.get(&target).await.status, 410, "paused for longer than it lasts");
-    let again = house.ask("s", FREE).await;
-    assert_eq!(again.status, 200, "the same play, with a new pass");
-    assert_eq!(house.get(&format!("{}0/1.m4s", base(&again))).await.status, 200);
-    assert_eq!(house.set_ups().len(), 1);
-    house.kept();
-}
-
-async fn says_that_it_stops(house: &House) {
-    house.until_true("it says so", || log_of(house).contains("stopping: no new plays")).await;
-}
-
-async fn signal(house: &House) {
-    house.signal(0, "-TERM").await;
-}
-
-#[tokio::test]
-async fn a_front_that_is_told_to_stop_finishes_what_it_holds() {
-    let house = House::open().await;
-    let manifest = house.ask("s", FREE).await;
-    house.ail(|a| a.slow = 60.0);
-    let waiting = house.ask_at(0, "waits", FREE).await;
-    house.until("its set-up", |seen| set_ups(seen) == 2).await;
-    signal(&house).await;
-    says_that_it_stops(&house).await;
-    assert_eq!(house.get(&house.manifest("new", FREE)).await.status, 503);
-    let held = waiting.answer().await;
-    assert_eq!(held.status, 200, "what it had taken is answered");
-    for play in [&manifest, &held] {
-        let base = base(play);
-        assert_eq!(house.get(&format!("{base}0/1.m4s")).await.status, 200, "and plays on");
-        let left = format!("DELETE {base} HTTP/1.1\r\nHost: f\r\n\r\n");
-        assert_eq!(house.send(&left).await.unwrap().status, 200);
-    }
-    assert!(house.fronts.ended(0).await, "it ends by itself, and well");
-    house.kept();
-}
-
-#[tokio::test]
-async fn plays_in_hand_get_a_final_answer_when_the_time_to_stop_is_up_and_a_second_signal_ends_at_once() {
-    let mut day = day();
-    day["limits"] = json!({ "stop_ms": 100 });
-    let house = House::of(day.clone()).await;
-    house.ail(|a| a.silent = true);
-    let waiting = house.ask_at(0, "waits", FREE).await;
-    let paid = house.ask_at(0, "paid", PAID).await;
-    house.until("their set-ups", |seen| set_ups(seen) == 2).await;
-    signal(&house).await;
-    let answer = waiting.answer().await;
-    assert_eq!((answer.status, answer.header("retry-after")), (503, Some("1")), "it may be asked for again");
-    assert!([502, 504].contains(&paid.answer().await.status), "it may have run");
-    assert!(house.fronts.ended(0).await);
-    house.kept();
-
-    day["limits"] = json!({ "stop_ms": 600_000 });
-    let house = House::of(day).await;
-    assert_eq!(house.ask("s", FREE).await.status, 200);
-    signal(&house).await;
-    says_that_it_stops(&house).await;
-    signal(&house).await;
-    let ended = tokio::time::timeout(Duration::from_secs(30), house.fronts.ended(0)).await;
-    assert_eq!(ended, Ok(true), "ten minutes were not waited for");
-}
--- a/crates/edge/tests/house/mod.rs
+++ b/crates/edge/tests/house/mod.rs
@@ -315,6 +315,11 @@
     seen.iter().filter(|s| matches!(s.what, What::SetUp { .. })).count()
 }
 
+/// How many set-ups servers have seen the end of.
+pub fn closed(seen: &[Seen]) -> usize {
+    seen.iter().filter(|s| matches!(s.what, What::Closed { .. })).count()
+}
+
 /// That day with one server, which holds all, and short notes on it.
 pub fn one_server() -> Value {
     let mut day = day();
@@ -343,3 +348,11 @@
     let (_, rest) = text.split_once("<BaseURL>").expect("a manifest has its base");
     rest.split_once("</BaseURL>").expect("a manifest has its base").0.to_string()
 }
+
+/// A day on which a set-up is waited for as long as the viewer waits.
+pub fn patient() -> Value {
+    let mut day = day();
+    day["rules"]["allocations"] = json!(1);
+    day["products"][0]["time_limit_ms"] = json!(20_000);
+    day
+}
