--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -331,38 +331,3 @@
         Some(line.role)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use calloop::EventLoop;
-    use std::net::TcpListener;
-
-    struct Nobody;
-
-    impl Owner for Nobody {
-        fn line_ready(&mut self, _: Key) {}
-    }
-
-    /// The loop was busy: the server read the set-up, ran it and reset the connection before this front looked. Taken
-    /// for a server that was never reached, a paid set-up would be sent a second time.
-    #[test]
-    fn a_server_that_read_the_request_and_reset_was_reached() {
-        let event_loop = EventLoop::<'static, Nobody>::try_new().expect("a loop");
-        let mut lines: Lines<Nobody, ()> = Lines::new(event_loop.handle());
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let stream = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
-        let key = lines.open(stream, None, ()).expect("a line");
-        let line = lines.get(key).expect("it is open");
-        line.write(b"POST");
-        assert!(line.flush());
-        let (mut server, _) = listener.accept().expect("the server takes it");
-        server.read_exact(&mut [0; 4]).expect("and reads it");
-        socket2::SockRef::from(&server).set_linger(Some(std::time::Duration::ZERO)).expect("to be reset");
-        drop(server);
-        while line.stream.peer_addr().is_ok() {
-            std::thread::yield_now();
-        }
-        assert_eq!(line.connected(), Some(true));
-    }
-}
