What waited for a connection goes out only for viewers that are there, and in its time

Found by reading: servers.rs wire_ready flushed what waited on a connection in the turn in which it was found to be up, before the viewers' own connections had their turn, and write_wire flushed it with whatever was written next. Forced: the node stands still, the connection comes up, then the viewer goes (closes, resets, closes one side, gives up): "it is the first on that connection" failed for all four. The paid one with its time over was answered as failed. Change: attempts.rs look_before_sending reads the viewers of all that has not left first, and lets those go whose time is over; nothing is flushed before that (write_wire waits until the connection is known to be up). time_out reads a connection only if its attempt has left. The time stands with the session (until). That write_wire waits is held by order alone: sockets that are ready are read before sends, so that no test can come between.

--- a/crates/edge/tests/crossings.rs
+++ b/crates/edge/tests/crossings.rs
@@ -171,6 +171,52 @@
     assert!(wire.next().is_none(), "nothing was sent on it");
 }
 
+/// A set-up waits on a connection that is still being made, and this comes in the instant in which that comes up, after it.
+fn as_its_connection_comes_up(stage: &mut Stage, then: impl FnOnce()) {
+    let (node, host) = (&stage.node, &mut stage.hosts[0]);
+    node.meanwhile(|| {
+        host.comes_up();
+        let since = Instant::now();
+        while !host.called() {
+            assert!(since.elapsed() < peers::PATIENCE, "the connection comes up");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        then();
+    });
+}
+
+#[test_case(Goes::Closes; "closes")]
+#[test_case(Goes::Resets; "resets")]
+#[test_case(Goes::HalfCloses; "closes one side")]
+#[test_case(Goes::GivesUp; "gives up")]
+fn a_viewer_that_goes_as_the_connection_of_its_set_up_comes_up_has_nothing_sent(how: Goes) {
+    let mut stage = late_stage(&PATIENT);
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(118, &[HERE, LONG]));
+    stage.has_read(&mut viewer);
+    let mut kept = None;
+    as_its_connection_comes_up(&mut stage, || kept = goes(viewer, 118, how));
+    let mut next = stage.node.viewer();
+    next.say(&set_up(119, &[HERE, LONG]));
+    assert_eq!(stage.next_at(0).1.session(), 119, "it is the first on that connection");
+    drop(kept);
+}
+
+/// The time of a paid set-up is over by the time at which its connection is up. Nothing of it has left: it goes on elsewhere, which
+/// what may have run does not.
+#[test]
+fn a_set_up_whose_time_is_over_as_its_connection_comes_up_is_not_sent() {
+    let paid = (r#""effect":"read_like""#, r#""effect":"non_idempotent""#);
+    let brief = (r#""aimUs":2000000"#, r#""aimUs":6000000"#);
+    let mut stage = late_stage(&[PATIENT[0], brief, paid]);
+    let mut viewer = stage.node.viewer();
+    viewer.say(&set_up(117, &[HERE, LONG]));
+    stage.has_read(&mut viewer);
+    // That of one attempt is 2 s; the node's own has passed by far when it goes on.
+    as_its_connection_comes_up(&mut stage, || std::thread::sleep(Duration::from_millis(2_500)));
+    stage.hosts[0].accept().serves(&mut viewer, 117);
+}
+
 /// A connection that is not up when the time of a set-up on it rings may never be: the next attempt goes on another.
 #[test]
 fn a_further_attempt_does_not_wait_for_the_connection_that_was_too_late() {
--- a/crates/node/src/asked.rs
+++ b/crates/node/src/asked.rs
@@ -93,6 +93,7 @@
         line: None,
         playing: false,
         since: 0.0,
+        until: 0.0,
         attempts: 0,
         used: Vec::new(),
         rung: 0,
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -8,6 +8,7 @@
 use crate::floor::{Attempt, News};
 use crate::node::Node;
 use pulleystair::{Figure, Outcome, Standing};
+use pulleystair_lines::Key;
 use tracing::debug;
 
 impl Node {
@@ -48,6 +49,20 @@
         self.floor.news.push_back(News { play, server, outcome });
     }
 
+    /// What waited for its connection is about to go out, now that it is up: a set-up whose viewer has gone by now, or whose time
+    /// is over, does not.
+    pub(crate) fn look_before_sending(&mut self, key: Key) {
+        for play in self.floor.unsent(key) {
+            if let Some(session) = self.floor.sessions.get(&play) {
+                self.viewer_ready(session.viewer);
+            }
+            let now = self.floor.now();
+            if let Some(session) = self.floor.sessions.get(&play).filter(|session| session.until <= now) {
+                self.time_out(play, session.attempts);
+            }
+        }
+    }
+
     /// An attempt has had its time.
     pub(crate) fn time_out(&mut self, play: u64, number: u32) {
         let out = |node: &Node| {
@@ -55,8 +70,10 @@
             let out = session.attempts == number && !session.playing;
             Some((session.server.filter(|_| out)?, session.line))
         };
-        // What its server has said by now, or that it has closed, decides.
-        if let Some((_, Some(key))) = out(self) {
+        // What its server has said by now, or that it has closed, decides; to what has not left it can't have said anything.
+        if let Some((_, Some(key))) = out(self)
+            && !self.floor.unsent(key).contains(&play)
+        {
             self.wire_ready(key);
         }
         let Some((server, line)) = out(self) else { return };
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -105,11 +105,10 @@
     pub(crate) begins: u64,
 }
 
-/// An attempt that the desk wants made: the session's how-manieth, and when it has had its time.
+/// An attempt that the desk wants made: the session's how-manieth.
 pub(crate) struct Attempt {
     pub(crate) session: u64,
     pub(crate) number: u32,
-    pub(crate) until: f64,
 }
 
 /// A play as the sockets have it.
@@ -124,6 +123,8 @@
     pub(crate) line: Option<Key>,
     pub(crate) playing: bool,
     pub(crate) since: f64,
+    /// When the attempt that is out has had its time.
+    pub(crate) until: f64,
     pub(crate) attempts: u32,
     /// Lines on which an earlier attempt was given up: what still comes there is not for a later one.
     pub(crate) used: Vec<Key>,
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -11,11 +11,11 @@
         let now = self.now();
         let Some(session) = self.sessions.get_mut(&play) else { return };
         session.attempts += 1;
-        (session.server, session.since) = (Some(server), now);
+        (session.server, session.since, session.until) = (Some(server), now, now + time_out);
         (session.rung, session.rung_sent) = (rung, rung);
-        let attempt = Attempt { session: play, number: session.attempts, until: now + time_out };
-        self.clock(attempt.until, Clock::TimeOut(play, attempt.number));
-        self.outgoing.push_back(attempt);
+        let number = session.attempts;
+        self.clock(now + time_out, Clock::TimeOut(play, number));
+        self.outgoing.push_back(Attempt { session: play, number });
     }
 
     fn withdraw(&mut self, play: u64) {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -29,12 +29,18 @@
                 None => return,
                 Some(true) => {}
             }
+            let Role::Server(wire) = &mut line.role else { return };
+            let number = wire.server;
+            let newly = !std::mem::replace(&mut wire.up, true);
+            if newly {
+                (wire.heard, wire.stirred) = (now, now);
+            }
+            self.look_before_sending(key);
+            let Some(line) = self.floor.lines.get(key) else { return };
             line.flush();
             let came = line.read(READ);
             let ended = line.ended;
             let Role::Server(wire) = &mut line.role else { return };
-            let number = wire.server;
-            let newly = !std::mem::replace(&mut wire.up, true);
             if came || newly {
                 (wire.heard, wire.stirred) = (now, now);
                 line.due = f64::INFINITY;
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -141,11 +141,14 @@
         usable.or_else(|| self.dial(number))
     }
 
+    /// What is given to a connection that is not known to be up waits for the turn in which it is found to be.
     pub(crate) fn write_wire(&mut self, key: Key, bytes: &[u8]) {
         let now = self.now();
         let Some(line) = self.lines.get(key) else { return };
         line.write(bytes);
-        line.flush();
+        if matches!(&line.role, Role::Server(wire) if wire.up) {
+            line.flush();
+        }
         let (ended, gone) = (line.ended, line.gone());
         if let Role::Server(wire) = &mut line.role {
             wire.stirred = now;
@@ -220,7 +223,7 @@
         let Some(key) = self.line_for(server, &not) else { return false };
         let Some(session) = self.sessions.get_mut(&it.session) else { return true };
         session.line = Some(key);
-        let limit = (it.until - now).max(1.0).ceil().to_string();
+        let limit = (session.until - now).max(1.0).ceil().to_string();
         let step = session.rung.to_string();
         let fields: [(&str, &str); 3] =
             [("X-Call-Class", &session.class), ("X-Ring-Limit", &limit), ("Rate-Step", &step)];
@@ -235,6 +238,14 @@
         true
     }
 
+    /// The set-ups on this line of which nothing has left.
+    pub(crate) fn unsent(&mut self, key: Key) -> Vec<u64> {
+        let Some(line) = self.lines.get(key).filter(|line| line.pending() > 0) else { return Vec::new() };
+        let gone = line.gone();
+        let Role::Server(wire) = &line.role else { return Vec::new() };
+        wire.open.iter().filter(|open| open.begins >= gone).map(|open| open.play).collect()
+    }
+
     /// A set-up of which nothing has left is taken off its line: true if so, and it never ran.
     pub(crate) fn take_back(&mut self, key: Key, play: u64) -> bool {
         let Some(line) = self.lines.get(key) else { return false };
