--- a/crates/edge/tests/node_life.rs
+++ b/crates/edge/tests/node_life.rs
@@ -144,11 +144,13 @@
     let mut stage = stage();
     stage.node.signal("TERM");
     stage.node.logs("stopping");
-    stage.node.signal("STOP");
-    let mut late = stage.node.viewer();
-    late.say(&set_up(38, &[HERE]));
-    std::thread::sleep(Duration::from_millis(1_000));
-    stage.node.signal("CONT");
+    let mut late = None;
+    stage.node.meanwhile(|| {
+        let viewer = late.insert(stage.node.viewer());
+        viewer.say(&set_up(38, &[HERE]));
+        std::thread::sleep(Duration::from_millis(1_000));
+    });
+    let mut late = late.expect("it has come");
     let (mut wire, asked) = stage.next_at(0);
     wire.answer(&asked, 200, DESCRIPTION);
     late.hears(ANSWER, 38);
--- a/crates/edge/tests/node_peers.rs
+++ b/crates/edge/tests/node_peers.rs
@@ -103,10 +103,12 @@
 fn room_for_a_viewer_is_not_made_where_a_session_stands_or_a_set_up_waits_unread() {
     let stage = stage_of(64);
     let (mut viewers, mut wire) = full(&stage);
-    stage.node.signal("STOP");
-    let mut newcomer = stage.node.viewer();
-    viewers[1].say(&set_up(200, &[HERE]));
-    stage.node.signal("CONT");
+    let mut newcomer = None;
+    stage.node.meanwhile(|| {
+        newcomer = Some(stage.node.viewer());
+        viewers[1].say(&set_up(200, &[HERE]));
+    });
+    let mut newcomer = newcomer.expect("it has come");
     wire.serves(&mut viewers[1], 200);
     assert_eq!(viewers[2].next(), None);
     newcomer.hears_nothing();
