--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,6 +2,7 @@
 //! the rules checked.
 
 use crate::fronts::Program;
+use crate::machine::Machine;
 use crate::players::{Room, Watched, arrivals, let_come};
 use crate::script::Day;
 use crate::set::Set;
@@ -22,7 +23,7 @@
     pub seen: Vec<Seen>,
     pub breaches: Vec<Breach>,
     pub covered: Covered,
-    /// How late the latest player set out, ms: a day on which this is large says little.
+    /// How late the latest player set out, or anyone on any core woke, ms: a day on which this is large says little.
     pub lateness_ms: f64,
     /// CPU of each front at the end of the day, ms, and memory, kB; none for one that was restarted last.
     pub used: Vec<Option<(f64, u64)>>,
@@ -42,6 +43,7 @@
         requests: AtomicU64::new(1),
         watched: Mutex::default(),
     });
+    let machine = Machine::watch();
     let start = Instant::now();
     let mut troubles = Vec::new();
     for (i, trouble) in day.troubles.iter().enumerate() {
@@ -49,12 +51,13 @@
         let seed = day.seed.wrapping_mul(31).wrapping_add(i as u64);
         troubles.push(tokio::spawn(async move { stage.trouble(trouble, seed).await }));
     }
-    let lateness_ms = let_come(room.clone(), arrivals(&day, &titles), start).await?;
+    let set_out = let_come(room.clone(), arrivals(&day, &titles), start).await?;
     for trouble in troubles {
         trouble.await?;
     }
     let used = (0..day.fronts).map(|front| fronts.used(front)).collect();
     fronts.stop(STOP).await?;
+    let lateness_ms = machine.lateness_ms().max(set_out);
     let seen = log.taken();
     let (breaches, covered) = check(&seen, &day.terms());
     let watched = std::mem::take(&mut *room.watched.lock().expect("no player dies while it reports"));
--- /dev/null
+++ b/crates/lab/src/machine.rs
@@ -0,0 +1,49 @@
+//! How late the machine is by itself, whatever runs on it: on each core somebody sleeps for a moment, again and again, and sees by how
+//! much it woke too late. A core that is taken away for a while holds up whoever is on it, and the rules' times are not to be read
+//! off a day on which that happened.
+
+use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// So long is each sleep: short against what is looked for, and cheap.
+const NAP: Duration = Duration::from_millis(5);
+
+/// Watches until it is asked.
+pub struct Machine {
+    stop: Arc<AtomicBool>,
+    naps: Vec<JoinHandle<f64>>,
+}
+
+impl Machine {
+    pub fn watch() -> Machine {
+        let stop = Arc::new(AtomicBool::new(false));
+        let allowed = sched_getaffinity(None).unwrap_or_default();
+        let cores = (0..CpuSet::MAX_CPU).filter(|core| allowed.is_set(*core));
+        let naps = cores.map(|core| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                let mut own = CpuSet::new();
+                own.set(core);
+                // Where it may not be held to its core it sleeps on any, and sees less.
+                let _ = sched_setaffinity(None, &own);
+                let mut latest = 0.0_f64;
+                while !stop.load(Ordering::Relaxed) {
+                    let since = Instant::now();
+                    std::thread::sleep(NAP);
+                    latest = latest.max(since.elapsed().saturating_sub(NAP).as_secs_f64() * 1000.0);
+                }
+                latest
+            })
+        });
+        Machine { naps: naps.collect(), stop }
+    }
+
+    /// The latest that anyone woke, ms.
+    pub fn lateness_ms(self) -> f64 {
+        self.stop.store(true, Ordering::Relaxed);
+        self.naps.into_iter().filter_map(|nap| nap.join().ok()).fold(0.0, f64::max)
+    }
+}
