--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -305,7 +305,13 @@
             }
             match tokio::time::timeout(within, child.wait()).await {
                 Ok(status) if status.as_ref().is_ok_and(|s| s.success()) => {}
-                Ok(status) => bail!("front {front} ended with {status:?}"),
+                Ok(status) => {
+                    let log =
+                        std::fs::read(self.folder.join(format!("front-{front}.log"))).unwrap_or_default();
+                    let log = String::from_utf8_lossy(&log);
+                    // Why it ended is its last word.
+                    bail!("front {front} ended with {status:?}: {}", log.lines().last().unwrap_or_default());
+                }
                 Err(_) => bail!("front {front} did not stop within {within:?}"),
             }
         }
