Where sessions stand at more servers than there may be lines, lines give way in turn

Ruled out: room for viewers (own connection there all the while), the name service (serial=1 to 11 taken). At fault: to_servers.rs spare_wire, which never closed the only line to a server with sessions, so that servers beyond the share of lines were neither called (a server tells of an end on the next connection opened) nor given set-ups ("outcome=Unreachable waited=0.005" with nothing dialled). That takes fewer lines than servers with sessions, which hundreds of servers at 256 descriptors (74 lines) come to as well. Change: last of all such a line gives way if it is quiet and has been up for half a second, for a set-up, for an end to be told there, or for a server without a line that was not heard for half of the time in which viewers must hear of an end; those are called in the order in which they were heard. The bound stands at look_at_servers. Test: node_peers.rs more_servers_with_sessions_...; seen to fail with either half out. That a line is left for half a second has no test.

--- a/crates/edge/tests/node_peers.rs
+++ b/crates/edge/tests/node_peers.rs
@@ -192,6 +192,35 @@
     wires[0].wants("SETUP");
 }
 
+/// Ten lines may lead to servers here, and sessions stand at twelve: lines give way in turn, and each server is called again in time
+/// to tell of an end.
+#[test]
+fn more_servers_with_sessions_than_there_may_be_lines_are_called_in_turn() {
+    let hosts: Vec<Host> = (0..12).map(|cell| Host::start(&format!("s-{cell:08x}"), cell)).collect();
+    let names = Names::start(hosts.iter().map(Host::record).collect());
+    let posting = Node::posting(names.at, &hosts.iter().collect::<Vec<_>>(), 64, 3_000_000);
+    let node = Node::start(&posting.replace(r#""places":2"#, r#""places":12"#));
+    let mut viewer = node.viewer();
+    let mut wires: Vec<Wire> = Vec::new();
+    for (cell, host) in hosts.iter().enumerate() {
+        if cell == 10 {
+            // Half a second of the node's own time: until then a server may still tell of what was over before.
+            names.asked(5);
+        }
+        let play = 700 + cell as u64;
+        viewer.say(&set_up(play, &[(18, &format!("home:{cell};copies:1;top:1"))]));
+        let mut wire = host.accept();
+        wire.serves(&mut viewer, play);
+        wires.push(wire);
+    }
+    // Those that were heard of longest ago; none of the sessions has ended.
+    assert!(wires[0].next().is_none() && wires[1].next().is_none());
+    viewer.hears_nothing();
+    for cell in 0..2 {
+        hosts[cell].accept().ends(&mut viewer, 700 + cell as u64);
+    }
+}
+
 /// As many as a datagram of the name service holds, beside 1,024 nodes and a start list of 1,024.
 #[test]
 fn lists_of_hundreds_and_a_thousand_are_followed_from_end_to_end() {
--- a/crates/node/src/hands.rs
+++ b/crates/node/src/hands.rs
@@ -40,7 +40,7 @@
 
     fn probe(&mut self, server: u32) {
         self.sums.probes += 1;
-        let Some(key) = self.any_line(server) else { return };
+        let Some(key) = self.any_line(server, false) else { return };
         let id = self.rnd.rand_u64();
         let bytes = rtsp::request("OPTIONS", "load", ASK, id, &[], b"");
         self.write_wire(key, &bytes);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -258,7 +258,7 @@
                 if server.lost >= CALLS {
                     self.server_lost(number);
                 } else if server.lines.is_empty() {
-                    self.call(number);
+                    self.call(number, false);
                 }
             }
         }
@@ -266,12 +266,12 @@
     }
 
     /// Makes a connection to a server that has plays and none: it may have something to say, or be gone.
-    fn call(&mut self, number: u32) {
+    fn call(&mut self, number: u32, pressing: bool) {
         if self.floor.servers.get(&number).is_some_and(|s| s.callable().is_none()) {
             return self.server_lost(number);
         }
         // One that can't be dialled for want of descriptors is called at the next look.
-        let _ = self.floor.dial(number);
+        let _ = self.floor.dial(number, pressing);
     }
 
     /// Nothing that stands at a server is there any more.
@@ -289,7 +289,9 @@
     }
 
     /// Servers with plays that are silent are called anew, as late as their viewers may hear of it: one that is cut off for
-    /// some seconds keeps its sessions. One that is listed as gone is waited for no longer than its notes are apart.
+    /// some seconds keeps its sessions. One that is listed as gone is waited for no longer than its notes are apart. Where more
+    /// servers have plays than there may be lines, those without one are called in turn, the one heard longest ago first: each look
+    /// can move all lines, so that M servers with K lines are heard within half of that time and M / K looks.
     pub(crate) fn look_at_servers(&mut self, now: f64) {
         let terms = &self.floor.terms;
         let notes = terms.tells * 1.25 + SILENCE;
@@ -299,13 +301,14 @@
         let vouched = self.asking.heard;
         let may_come = |s: &Server| s.address.is_none() && !vouched;
         let silent = |s: &Server| s.playing > 0 && (s.lines.is_empty() && !may_come(s) || late(s));
-        let mut silent: Vec<u32> =
-            self.floor.servers.iter().filter(|(_, s)| silent(s)).map(|(number, _)| *number).collect();
-        silent.sort_unstable();
-        for number in silent {
+        let silent = self.floor.servers.iter().filter(|(_, s)| silent(s));
+        let mut silent: Vec<(f64, u32)> = silent.map(|(number, s)| (s.heard, *number)).collect();
+        silent.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (heard, number) in silent {
             let lines = self.floor.servers.get(&number).map(|s| s.lines.clone()).unwrap_or_default();
+            let pressing = lines.is_empty() && now - heard > most / 2.0;
             if !lines.into_iter().any(|key| self.floor.wire(key).is_some_and(|wire| !wire.up)) {
-                self.call(number);
+                self.call(number, pressing);
             }
         }
     }
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -3,6 +3,7 @@
 use crate::floor::{
     Attempt, Clock, Cut, Floor, GIVE_UP, OTHER, OWED, OWED_MOST, Open, Role, SET_UP, Server, Wire,
 };
+use crate::node::LOOK;
 use pulleystair_lines::Key;
 use pulleystair_rtsp as rtsp;
 use tracing::debug;
@@ -24,10 +25,10 @@
         number
     }
 
-    /// A new connection to a server that is listed.
-    pub(crate) fn dial(&mut self, number: u32) -> Option<Key> {
+    /// A new connection to a server that is listed; `pressing` if one to another server that has sessions may give way for it.
+    pub(crate) fn dial(&mut self, number: u32, pressing: bool) -> Option<Key> {
         let address = self.servers.get(&number)?.callable()?;
-        if self.wires_open() >= self.shares.servers && !self.spare_wire() {
+        if self.has_all_lines() && !self.spare_wire(pressing) {
             return None;
         }
         let server = self.servers.get(&number)?;
@@ -48,23 +49,34 @@
         Some(key)
     }
 
+    /// Whether there are as many lines to servers as there may be.
+    pub(crate) fn has_all_lines(&self) -> bool {
+        self.wires_open() >= self.shares.servers
+    }
+
     /// Closes the line that is needed least, where there is one: nothing is under way on it or waits there unread, and no play
-    /// stands at its server or another line leads there; of these the one that has been silent longest.
-    fn spare_wire(&mut self) -> bool {
-        let mut idle: Vec<(f64, Key)> = Vec::new();
-        for server in self.servers.values().filter(|s| s.playing == 0 || s.lines.len() > 1) {
+    /// stands at its server or another line leads there; of these the one that has been silent longest. Where it is pressing, last
+    /// of all the only line to a server with plays, which has had the time to tell of all ends before it; that server is called again.
+    fn spare_wire(&mut self, pressing: bool) -> bool {
+        let now = self.now();
+        let mut idle: Vec<(bool, f64, Key)> = Vec::new();
+        for server in self.servers.values() {
+            let needed = server.playing > 0 && server.lines.len() <= 1;
             for key in &server.lines {
                 let Some(line) = self.lines.get(*key) else { continue };
                 let waits = line.pending() > 0;
                 let Role::Server(wire) = &line.role else { continue };
-                if !waits && wire.open.is_empty() {
-                    idle.push((wire.heard, *key));
+                let may_go = !needed || pressing && wire.up && now - wire.dialled >= LOOK;
+                if may_go && !waits && wire.open.is_empty() {
+                    idle.push((needed, wire.heard, *key));
                 }
             }
         }
-        idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         // A server tells of an end on one line and on the next that is opened, so what has come on this one may be its only word.
-        let Some((_, key)) = idle.into_iter().find(|(_, key)| self.is_quiet(*key)) else { return false };
+        let Some((_, _, key)) = idle.into_iter().find(|(_, _, key)| self.is_quiet(*key)) else {
+            return false;
+        };
         self.drop_wire(key);
         true
     }
@@ -113,11 +125,11 @@
             }
         }
         let has_all = keys.len() >= self.lines_each();
-        let may_dial = !has_all && self.wires_open() < self.shares.servers;
+        let may_dial = !has_all && !self.has_all_lines();
         match best {
             Some((_, 0, key)) => Some(key),
             Some((_, _, key)) if !may_dial => Some(key),
-            Some((_, _, key)) => self.dial(number).or(Some(key)),
+            Some((_, _, key)) => self.dial(number, false).or(Some(key)),
             // All its lines are of no use: one that carries nothing makes room.
             None => {
                 let idle = |key: &Key| self.wire(*key).is_some_and(|wire| wire.open.is_empty());
@@ -125,20 +137,20 @@
                 if let Some(key) = unused.into_iter().find(|key| has_all && self.is_quiet(*key)) {
                     self.drop_wire(key);
                 }
-                self.dial(number)
+                self.dial(number, true)
             }
         }
     }
 
     /// A line on which a server hears of its standing sessions.
-    pub(crate) fn any_line(&mut self, number: u32) -> Option<Key> {
+    pub(crate) fn any_line(&mut self, number: u32, pressing: bool) -> Option<Key> {
         let keys = self.servers.get(&number)?.lines.clone();
         let usable = keys.into_iter().find(|key| {
             self.lines
                 .get(*key)
                 .is_some_and(|line| !line.ended && matches!(&line.role, Role::Server(wire) if !wire.tired))
         });
-        usable.or_else(|| self.dial(number))
+        usable.or_else(|| self.dial(number, pressing))
     }
 
     /// What is given to a connection that is not known to be up waits for the turn in which it is found to be.
@@ -206,7 +218,7 @@
     /// This line to a server, or any other.
     fn this_or_any(&mut self, number: u32, line: Option<Key>) -> Option<Key> {
         let own = line.filter(|key| self.lines.get(*key).is_some_and(|line| !line.ended));
-        own.or_else(|| self.any_line(number))
+        own.or_else(|| self.any_line(number, true))
     }
 
     /// The server and the viewer's connection of an attempt that is still to begin; none once its session waits for it no more.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -326,6 +326,6 @@
         }
         self.desk.adopt(now, play, &wish, server, &mut self.floor);
         // A server that knows no connection of this front can't tell of the session.
-        let _ = self.floor.any_line(server);
+        let _ = self.floor.any_line(server, false);
     }
 }
