--- a/crates/edge/tests/crossings_standing.rs
+++ b/crates/edge/tests/crossings_standing.rs
@@ -120,6 +120,25 @@
     other.hears_nothing();
 }
 
+/// Of several that are there, one of its own address, though another has come later: a connection that was broken off has none any more.
+#[test]
+fn an_end_that_was_not_read_is_told_where_its_viewer_is() {
+    let stage = stage();
+    let here = [127, 0, 0, 2];
+    let (mut first, mut own, mut another) =
+        (stage.node.viewer_at(here), stage.node.viewer_at(here), stage.node.viewer());
+    let mut wire = stage.stands(&mut first, 160);
+    for (viewer, play) in [(&mut own, 161), (&mut another, 162)] {
+        viewer.say(&set_up(play, &[HERE]));
+        wire.serves(viewer, play);
+    }
+    wire.request("TEARDOWN", 160, "Reason: cause=41\r\n");
+    first.stream.peek(&mut [0]).expect("the end comes");
+    drop(first);
+    assert_eq!(own.hears(RELEASE, 160).cause(), 41);
+    another.hears_nothing();
+}
+
 /// Nobody is there to be told: whoever asks for something next is.
 #[test]
 fn an_end_that_its_viewer_has_not_read_is_told_to_whoever_comes() {
--- a/crates/edge/tests/node_peers.rs
+++ b/crates/edge/tests/node_peers.rs
@@ -216,8 +216,8 @@
     // Those that were heard of longest ago; none of the sessions has ended.
     assert!(wires[0].next().is_none() && wires[1].next().is_none());
     viewer.hears_nothing();
-    for cell in 0..2 {
-        hosts[cell].accept().ends(&mut viewer, 700 + cell as u64);
+    for (host, play) in hosts[..2].iter().zip(700..) {
+        host.accept().ends(&mut viewer, play);
     }
 }
 
--- a/crates/edge/tests/peers/process.rs
+++ b/crates/edge/tests/peers/process.rs
@@ -97,6 +97,17 @@
         Viewer { stream }
     }
 
+    /// A viewer at another of this machine's addresses.
+    pub fn viewer_at(&self, from: [u8; 4]) -> Viewer {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from((from, 0)).into()).expect("all of 127/8 is this machine");
+        socket.connect(&self.at.into()).expect("the node accepts");
+        socket.set_read_timeout(Some(PATIENCE)).expect("a time");
+        socket.set_tcp_nodelay(true).expect("so");
+        Viewer { stream: socket.into() }
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(status.expect("kill").success());
--- a/crates/node/src/floor.rs
+++ b/crates/node/src/floor.rs
@@ -56,10 +56,11 @@
     pub(crate) told: Vec<Told>,
 }
 
-/// The end of a session that its viewer is told: since when it is owed, and when it was written.
+/// The end of a session that its viewer is told: from where that asked, since when it is owed, and when it was written.
 pub(crate) struct Told {
     pub(crate) play: u64,
     pub(crate) cause: u8,
+    pub(crate) from: Option<IpAddr>,
     pub(crate) since: f64,
     pub(crate) written: f64,
 }
--- a/crates/node/src/to_viewers.rs
+++ b/crates/node/src/to_viewers.rs
@@ -48,15 +48,15 @@
     /// What has stood is over: its viewer is told, on its own connection or on another, now or as soon as there is one.
     pub(crate) fn release(&mut self, play: u64, viewer: Key, from: Option<IpAddr>, cause: u8) {
         let since = self.now();
-        self.tell_end(Told { play, cause, since, written: since }, viewer, from);
+        self.tell_end(Told { play, cause, from, since, written: since }, viewer);
     }
 
     /// Tells an end that is owed since then, until whoever is owed it must have heard of it otherwise.
-    pub(crate) fn tell_end(&mut self, it: Told, viewer: Key, from: Option<IpAddr>) {
+    pub(crate) fn tell_end(&mut self, it: Told, viewer: Key) {
         if self.now() - it.since >= OWED {
             return;
         }
-        let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(from) };
+        let key = if self.is_there(viewer) { Some(viewer) } else { self.way_to(it.from) };
         debug!(target: "play", play = format!("{:016x}", it.play), it.cause, own = key == Some(viewer), waits = key.is_none(), "over");
         match key {
             Some(key) => self.write_end(key, it),
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -105,12 +105,12 @@
     pub(crate) fn viewer_gone(&mut self, key: Key) {
         self.give_up_all(key);
         let Some(line) = self.floor.lines.get(key) else { return };
-        let (from, unread) = (line.from(), line.broken() || line.pending() > 0);
+        let unread = line.broken() || line.pending() > 0;
         let Some(Role::Viewer(viewer)) = self.floor.lines.close(key) else { return };
         self.floor.viewers.retain(|k| *k != key);
         debug!(target: "viewer", key, proven = viewer.proven, unread, viewers = self.floor.viewers.len(), "gone");
         for it in viewer.told.into_iter().filter(|_| unread) {
-            self.floor.tell_end(it, key, from);
+            self.floor.tell_end(it, key);
         }
     }
 
