--- a/crates/edge/tests/node_peers.rs
+++ b/crates/edge/tests/node_peers.rs
@@ -166,13 +166,19 @@
 
 // ---- size ----
 
-/// Ten lines may lead to servers here; each title is held by one server of twelve.
-#[test]
-fn lines_to_more_servers_than_there_may_be_make_room_for_each_other() {
+/// Twelve servers, each of which holds titles of its own, and a node that may have ten lines to them.
+fn twelve() -> (Vec<Host>, Names, Node) {
     let hosts: Vec<Host> = (0..12).map(|cell| Host::start(&format!("s-{cell:08x}"), cell)).collect();
     let names = Names::start(hosts.iter().map(Host::record).collect());
     let posting = Node::posting(names.at, &hosts.iter().collect::<Vec<_>>(), 64, 3_000_000);
     let node = Node::start(&posting.replace(r#""places":2"#, r#""places":12"#));
+    (hosts, names, node)
+}
+
+/// Ten lines may lead to servers here; each title is held by one server of twelve.
+#[test]
+fn lines_to_more_servers_than_there_may_be_make_room_for_each_other() {
+    let (hosts, _names, node) = twelve();
     let mut viewer = node.viewer();
     let mut wires: Vec<Wire> = Vec::new();
     for (cell, host) in hosts.iter().enumerate() {
@@ -196,10 +202,7 @@
 /// to tell of an end.
 #[test]
 fn more_servers_with_sessions_than_there_may_be_lines_are_called_in_turn() {
-    let hosts: Vec<Host> = (0..12).map(|cell| Host::start(&format!("s-{cell:08x}"), cell)).collect();
-    let names = Names::start(hosts.iter().map(Host::record).collect());
-    let posting = Node::posting(names.at, &hosts.iter().collect::<Vec<_>>(), 64, 3_000_000);
-    let node = Node::start(&posting.replace(r#""places":2"#, r#""places":12"#));
+    let (hosts, names, node) = twelve();
     let mut viewer = node.viewer();
     let mut wires: Vec<Wire> = Vec::new();
     for (cell, host) in hosts.iter().enumerate() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The front on the platform's protocol: viewers' binary messages, media servers' RTSP, the list by DNS. `posting` is what a
-//! node is given at start, `node` its loop, `stopping` its end, `viewers` and `servers` what comes from either, `asked` a set-up as it is read, `attempts` those on
-//! their way, `listing` the list of servers, `floor` what is kept of all that, `hands` what the desk has done, `to_viewers` and
-//! `to_servers` what is written, `ended` what has ended lately, `shares` how the descriptors are shared out. It decides nothing: where a play
-//! goes, and what follows an outcome, the desk is asked.
+//! node is given at start, `node` its loop, `stopping` its end, `viewers` and `servers` what comes from either, `asked` a set-up as it
+//! is read, `attempts` those on their way, `listing` the list of servers, `floor` what is kept of all that, `hands` what the desk has
+//! done, `to_viewers` and `to_servers` what is written, `ended` what has ended lately, `shares` how the descriptors are shared out. It
+//! decides nothing: where a play goes, and what follows an outcome, the desk is asked.
 
 mod asked;
 mod attempts;
