--- a/crates/edge/tests/crossings.rs
+++ b/crates/edge/tests/crossings.rs
@@ -176,11 +176,7 @@
     let (node, host) = (&stage.node, &mut stage.hosts[0]);
     node.meanwhile(|| {
         host.comes_up();
-        let since = Instant::now();
-        while !host.called() {
-            assert!(since.elapsed() < peers::PATIENCE, "the connection comes up");
-            std::thread::sleep(Duration::from_millis(2));
-        }
+        host.until_called();
         then();
     });
 }
--- a/crates/edge/tests/peers/servers.rs
+++ b/crates/edge/tests/peers/servers.rs
@@ -62,11 +62,7 @@
 
     /// The next connection of the node.
     pub fn accept(&self) -> Wire {
-        let since = Instant::now();
-        while !self.called() {
-            assert!(since.elapsed() < PATIENCE, "{}: the node calls", self.id);
-            std::thread::sleep(Duration::from_millis(2));
-        }
+        self.until_called();
         let stream = self.kept.borrow_mut().take().expect("it has called");
         stream.set_nonblocking(false).expect("so");
         stream.set_nodelay(true).expect("so");
@@ -101,6 +97,15 @@
         });
     }
 
+    /// Waits until the node has called, and its connection is up.
+    pub fn until_called(&self) {
+        let since = Instant::now();
+        while !self.called() {
+            assert!(since.elapsed() < PATIENCE, "{}: the node calls", self.id);
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Whether the node has called; its connection is kept for [`Host::accept`].
     pub fn called(&self) -> bool {
         let mut kept = self.kept.borrow_mut();
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -243,7 +243,7 @@
 
     /// Starts a front and waits until it listens.
     pub async fn start(&self, front: usize) -> Result<SocketAddr> {
-        let file = self.folder.join(format!("front-{front}.log"));
+        let file = self.log_file(front);
         let words = std::fs::OpenOptions::new().create(true).append(true).open(&file)?;
         let said = words.metadata()?.len() as usize;
         let child = Command::new(&self.program.path)
@@ -278,6 +278,10 @@
         Ok(address)
     }
 
+    fn log_file(&self, front: usize) -> PathBuf {
+        self.folder.join(format!("front-{front}.log"))
+    }
+
     /// Kills a front outright.
     pub async fn kill(&self, front: usize) {
         let child = {
@@ -306,8 +310,7 @@
             match tokio::time::timeout(within, child.wait()).await {
                 Ok(status) if status.as_ref().is_ok_and(|s| s.success()) => {}
                 Ok(status) => {
-                    let log =
-                        std::fs::read(self.folder.join(format!("front-{front}.log"))).unwrap_or_default();
+                    let log = std::fs::read(self.log_file(front)).unwrap_or_default();
                     let log = String::from_utf8_lossy(&log);
                     // Why it ended is its last word.
                     bail!("front {front} ended with {status:?}: {}", log.lines().last().unwrap_or_default());
--- a/crates/lab/src/machine.rs
+++ b/crates/lab/src/machine.rs
@@ -42,8 +42,15 @@
     }
 
     /// The latest that anyone woke, ms.
-    pub fn lateness_ms(self) -> f64 {
+    pub fn lateness_ms(mut self) -> f64 {
+        self.stop.store(true, Ordering::Relaxed);
+        std::mem::take(&mut self.naps).into_iter().filter_map(|nap| nap.join().ok()).fold(0.0, f64::max)
+    }
+}
+
+/// A day that breaks off leaves nobody watching.
+impl Drop for Machine {
+    fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
-        self.naps.into_iter().filter_map(|nap| nap.join().ok()).fold(0.0, f64::max)
     }
 }
--- a/crates/node/src/to_viewers.rs
+++ b/crates/node/src/to_viewers.rs
@@ -25,7 +25,7 @@
         self.tell_release(session.viewer, play, cause, pause);
     }
 
-    /// A refusal or a failure, under an id that need not have been taken.
+    /// A refusal, a failure or the end of what stood, under an id that need not have been taken.
     pub(crate) fn tell_release(&mut self, key: Key, play: u64, cause: u8, pause: f64) {
         let pause = format!("{}", pause.ceil().max(0.0));
         let mut parameters: Vec<(u8, &[u8])> = vec![(code::CAUSE, std::slice::from_ref(&cause))];
@@ -67,16 +67,13 @@
 
     /// Writes an end on this connection; it is kept in mind, as the connection may end before it has brought it.
     fn write_end(&mut self, key: Key, mut it: Told) {
-        let Some(bytes) = signal::write(kind::RELEASE, it.play, &[(code::CAUSE, &[it.cause])]) else {
-            return;
-        };
-        let now = self.now();
+        let (play, cause, now) = (it.play, it.cause, self.now());
         it.written = now;
         if let Some(viewer) = self.viewer(key) {
             viewer.told.retain(|told| now - told.since < OWED);
             viewer.told.push(it);
         }
-        self.write_viewer(key, &bytes);
+        self.tell_release(key, play, cause, 0.0);
     }
 
     /// The latest connection on which a viewer of that address has asked for something, else of any.
