Review: each case's run.sh itself names TROUBLE and record.txt

Seen: the two stood only in the script and the stand-ins that the three cases share, so nothing in a case's folder named them. Now each run.sh sets both and passes them on; the stand-ins, the checks and the bounds are as they were.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,12 +1,11 @@
 #!/bin/sh
-# Runs the stand-ins of a case: run-case.sh FOLDER-OF-THE-CASE PROGRAM. The exit code is that of the stand-ins: 1 if the rule
-# was broken, 0 if it held, 2 if the case could not run.
+# Called by the run.sh of each case, which sets TROUBLE and RECORD: run-case.sh FOLDER-OF-THE-CASE PROGRAM. The exit code is that
+# of the stand-ins: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 CASE=$(cd "$1" && pwd)
 ROOT=$(cd "$CASE/../.." && pwd)
 RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$ROOT/deploy/balancer.toml")
-RECORD="$CASE/record.txt"
 FOLDER=$(mktemp -d)
-export ROOT RUN RECORD FOLDER
+export ROOT RUN FOLDER
 PROGRAM="$ROOT/review/stand-ins/target/release/$2"
 end() {
     for pid in $(cat "$FOLDER/pids" 2>/dev/null); do kill -KILL "$pid" 2>/dev/null; done
