Only a list gives a media server a number: unknown ids in hand-overs leave nothing

The node's memory grew by 3 MB a second, was over its 64 MB after 19.1 s, and the node was killed with all its sessions.

Cause: adopt_session (viewers.rs) called server_number (to_servers.rs), which made an entry for any id; the dispatcher and the placement logic made one each. The session ended at the next check, but forget_gone_servers (node.rs) passed over servers that no list had named, so the entries stayed for good.

Evidence: in the log of the case `servers` went 15,013, 30,013, 45,013 in 10 s, in step with `lost`. Ruled out by the same lines: sessions (1,512 to 1,536), notices (0), ends to be sent (0), timers (8,340 to 9,082).

Change: server_number is gone; only apply_list numbers servers. A hand-over at an unlisted server makes no session and waits in a bounded table (hand_overs.rs) for as long as such a session was kept before. As every entry now has an address from a list, Server::address is no longer optional.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -10,6 +10,9 @@
 
 /// Maximum number of bytes of the file.
 const MAX_FILE_BYTES: u64 = 16 << 20;
+/// A server may be silent for this many intervals between its notes, and for `NOTE_GRACE_MS` more.
+const NOTE_INTERVALS: f64 = 1.25;
+const NOTE_GRACE_MS: f64 = 1_000.0;
 
 /// The contents of the file, and what is derived from it.
 #[derive(Debug, Deserialize)]
@@ -75,6 +78,13 @@
     pub max_set_ups_per_server_connection: usize,
 }
 
+impl NodeLimits {
+    /// The time after which the silence of a server with sessions has to have a cause, ms.
+    pub(crate) fn note_timeout(&self) -> f64 {
+        NOTE_INTERVALS * self.note_interval + NOTE_GRACE_MS
+    }
+}
+
 impl Config {
     /// Reads and checks the file. Errors name the path and the setting.
     pub fn load(path: &Path) -> anyhow::Result<Config> {
--- a/crates/node/src/ended_sessions.rs
+++ b/crates/node/src/ended_sessions.rs
@@ -41,10 +41,18 @@
         }
     }
 
-    /// What is known of the end of a session that a viewer asks the node to adopt. Afterwards the end counts
-    /// as known to both sides.
+    /// What is known of the end of a session that a viewer asks the node to adopt.
+    pub(crate) fn report(&self, now: f64, play: u64) -> Option<EndReport> {
+        let (ended_at, report) = self.reports.get(&play)?;
+        (now - *ended_at < NOTICE_TTL_MS).then_some(*report)
+    }
+
+    /// Like [`EndedSessions::report`]. Afterwards the end counts as known to both sides.
     pub(crate) fn take_report(&mut self, now: f64, play: u64) -> Option<EndReport> {
-        let (ended_at, report) = self.reports.get_mut(&play)?;
-        (now - *ended_at < NOTICE_TTL_MS).then(|| std::mem::replace(report, EndReport::Both))
+        let report = self.report(now, play)?;
+        if let Some((_, kept)) = self.reports.get_mut(&play) {
+            *kept = EndReport::Both;
+        }
+        Some(report)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `stopping`: the shutdown
 //! - `viewers` and `servers`: what viewers and servers send
 //! - `set_up`: the parsing of a viewer's set-up
+//! - `hand_overs`: sessions that play already when the node starts
 //! - `attempts`: attempts at servers
 //! - `listing`: the list of servers
 //! - `state`: the node's state beside the dispatcher
@@ -19,6 +20,7 @@
 mod attempts;
 mod config;
 mod ended_sessions;
+mod hand_overs;
 mod listing;
 mod node;
 mod servers;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::node::Node;
 use crate::shares::{RETRY_DELAY_MS, is_resource_exhaustion};
-use crate::state::{AttemptEnd, NodeState, Timer};
+use crate::state::{AttemptEnd, NodeState, Server, Timer};
 use anyhow::Context;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -83,6 +83,20 @@
     }
 }
 
+impl NodeState {
+    /// The number of a server that a list names. A new id gets a new number and an entry in `servers`.
+    fn number_listed_server(&mut self, entry: &ServerEntry, listing: Listing) -> u32 {
+        if let Some(server_number) = self.server_numbers.get(&entry.id) {
+            return *server_number;
+        }
+        let server_number = self.next_server_number;
+        self.next_server_number = self.next_server_number.wrapping_add(1);
+        self.server_numbers.insert(entry.id.clone(), server_number);
+        self.servers.insert(server_number, Server::new(entry.id.clone(), entry.address, listing));
+        server_number
+    }
+}
+
 impl Node {
     /// Applies the initial events, or those of a new file, as one merged list: applied one by one, old events
     /// would make servers seem to start and leave now. Before the first response of the name service the list
@@ -159,12 +173,11 @@
         let mut listings = Vec::new();
         let mut restarted = Vec::new();
         if is_whole {
-            for server in self.state.servers.values_mut().filter(|s| s.address.is_some()) {
+            for server in self.state.servers.values_mut() {
                 server.listing.standing = Standing::Gone;
             }
         }
         for entry in entries {
-            let server_number = self.state.server_number(&entry.id);
             let limits = &mut self.state.limits;
             let listing = Listing {
                 server: 0,
@@ -175,18 +188,20 @@
                 weight: entry.weight,
                 started_at: entry.started_at,
             };
+            let server_number = self.state.number_listed_server(entry, listing);
             listings.push((server_number, listing));
             let Some(server) = self.state.servers.get_mut(&server_number) else { continue };
-            let has_moved = server.address.is_some_and(|a| a != entry.address);
-            if server.address.is_some() && (has_moved || listing.started_at > server.listing.started_at) {
+            let has_moved = server.address != entry.address;
+            if has_moved || listing.started_at > server.listing.started_at {
                 restarted.push((server_number, if has_moved { f64::INFINITY } else { listing.started_at }));
             }
-            (server.address, server.listing) = (Some(entry.address), listing);
+            (server.address, server.listing) = (entry.address, listing);
         }
         self.dispatcher.update_list(now, is_whole, is_cached, &listings);
         for (server_number, started_at) in restarted {
             self.on_server_restarted(server_number, started_at);
         }
+        self.adopt_listed_hand_overs();
         self.cancel_unsent_set_ups();
         self.report_ends();
         self.forget_gone_servers();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 
 use crate::config::Config;
 use crate::listing::DnsClient;
-use crate::state::{CAUSE_FAILED, NodeState, Role, Server, Timer};
+use crate::state::{CAUSE_FAILED, NodeState, Role, Timer};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
@@ -131,6 +131,7 @@
                 Timer::QueryList => self.query_list_if_due(now),
                 Timer::CheckServers => {
                     self.check_silent_servers(now);
+                    self.end_unlisted_hand_overs(now);
                     self.state.retry_pending_teardowns(now);
                     if enabled!(target: "belief", tracing::Level::DEBUG) {
                         self.log_server_view();
@@ -141,7 +142,7 @@
                     let state = &self.state;
                     info!(target: "sums", sums = ?state.stats, open = state.pending_set_up_count, sessions = state.sessions.len(),
                         held = self.dispatcher.play_count(), viewers = state.viewer_connections.len(), wires = state.server_connection_count(),
-                        servers = state.servers.len(), owed = state.pending_notices.len(), cuts = state.pending_teardowns.len(), clocks = state.timers.len());
+                        servers = state.servers.len(), owed = state.pending_notices.len(), cuts = state.pending_teardowns.len(), unlisted = state.unlisted_hand_overs.len(), clocks = state.timers.len());
                     self.forget_gone_servers();
                     self.state.schedule(now + STATS_INTERVAL_MS, Timer::LogStats);
                 }
@@ -202,18 +203,16 @@
         }
     }
 
-    /// Forgets the servers that a list has named, that are gone, and that no session or pending attempt uses,
-    /// in the dispatcher too, and closes the connections to them. A server to which the dispatcher still refers
-    /// is kept for now.
+    /// Forgets the servers that are gone and that no session or pending attempt uses, in the dispatcher too,
+    /// and closes the connections to them. A server to which the dispatcher still refers is kept for now.
     pub(crate) fn forget_gone_servers(&mut self) {
         let servers_in_use: HashSet<u32> =
             self.state.sessions.values().filter_map(|s| s.server_number).collect();
-        let is_gone = |s: &Server| s.is_gone() && s.address.is_some();
         let gone = self
             .state
             .servers
             .iter()
-            .filter(|(n, s)| is_gone(s) && !servers_in_use.contains(n))
+            .filter(|(n, s)| s.is_gone() && !servers_in_use.contains(n))
             .map(|(n, _)| *n);
         for server_number in gone.collect::<Vec<u32>>() {
             if !self.dispatcher.forget_server(server_number) {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -15,9 +15,6 @@
 
 /// Maximum number of reads of one connection in a turn.
 const MAX_SERVER_READS_PER_TURN: usize = 16;
-/// Added to 1.25 intervals between notes, this is the time after which the silence of a server has to have a
-/// cause, ms.
-const NOTE_GRACE_MS: f64 = 1_000.0;
 /// The part of the time within which viewers must be notified of an end that is kept for detecting the end
 /// and for sending the notice, ms.
 const DETECTION_MARGIN_MS: f64 = 750.0;
@@ -379,8 +376,7 @@
     /// Dials servers with sessions that have no connection, or were silent for `silence_limit`. That is as
     /// late as the viewers' deadline for notices allows, so that a server that is cut off for some seconds
     /// keeps its sessions. A server that is listed as gone cannot be dialled: it is lost at the first check at
-    /// which it has no connection, or was silent for `note_timeout` (1.25 intervals between notes plus
-    /// `NOTE_GRACE_MS`).
+    /// which it has no connection, or was silent for `NodeLimits::note_timeout`.
     ///
     /// If more servers have sessions than there may be connections, the servers without one are dialled in
     /// turn, the longest silent first. After half of `silence_limit` they may close a connection to a server
@@ -388,7 +384,7 @@
     /// heard again within half of `silence_limit` plus M / K checks.
     pub(crate) fn check_silent_servers(&mut self, now: f64) {
         let limits = &self.state.limits;
-        let note_timeout = limits.note_interval * 1.25 + NOTE_GRACE_MS;
+        let note_timeout = limits.note_timeout();
         let silence_limit = note_timeout.max(
             NOTICE_TTL_MS
                 - DETECTION_MARGIN_MS
@@ -396,12 +392,7 @@
         );
         let is_late =
             |s: &Server| now - s.last_heard_at > if s.is_gone() { note_timeout } else { silence_limit };
-        // A server that is known only from an adopted session may be in the list that is still to come.
-        let has_response = self.dns_client.has_response;
-        let may_be_listed = |s: &Server| s.address.is_none() && !has_response;
-        let is_silent = |s: &Server| {
-            s.playing_sessions > 0 && (s.connections.is_empty() && !may_be_listed(s) || is_late(s))
-        };
+        let is_silent = |s: &Server| s.playing_sessions > 0 && (s.connections.is_empty() || is_late(s));
         let silent_servers = self.state.servers.iter().filter(|(_, s)| is_silent(s));
         let mut silent_servers: Vec<(f64, u32)> =
             silent_servers.map(|(server_number, s)| (s.last_heard_at, *server_number)).collect();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::config::{Config, NodeLimits};
 use crate::ended_sessions::EndedSessions;
+use crate::hand_overs::UnlistedHandOvers;
 use crate::node::Node;
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
@@ -165,12 +166,10 @@
     pub(crate) release_cause: u8,
 }
 
-/// A media server.
-#[derive(Default)]
+/// A media server that a list has named.
 pub(crate) struct Server {
     pub(crate) id: String,
-    /// `None` if no list has named the server yet.
-    pub(crate) address: Option<SocketAddr>,
+    pub(crate) address: SocketAddr,
     pub(crate) listing: Listing,
     pub(crate) connections: Vec<ConnectionId>,
     /// How many sessions play on it.
@@ -181,14 +180,27 @@
 }
 
 impl Server {
-    /// Whether the server is listed as gone, is missing from the list, or was never listed.
+    /// A server that has just been listed.
+    pub(crate) fn new(id: String, address: SocketAddr, listing: Listing) -> Server {
+        Server {
+            id,
+            address,
+            listing,
+            connections: Vec::new(),
+            playing_sessions: 0,
+            last_heard_at: 0.0,
+            failed_dials: 0,
+        }
+    }
+
+    /// Whether the server is listed as gone or is missing from the list.
     pub(crate) fn is_gone(&self) -> bool {
         self.listing.standing == Standing::Gone
     }
 
-    /// The address to dial: `None` if no list has named the server yet, or if it is gone.
+    /// The address to dial; `None` if the server is gone.
     pub(crate) fn dial_address(&self) -> Option<SocketAddr> {
-        self.address.filter(|_| !self.is_gone())
+        (!self.is_gone()).then_some(self.address)
     }
 }
 
@@ -238,7 +250,8 @@
     pub(crate) failed: u64,
     /// Set-ups and other messages from viewers that could not be used.
     pub(crate) unusable: u64,
-    /// Set-ups that were rejected because too many were pending or too many viewers' connections were open.
+    /// Set-ups and hand-overs that were rejected because too many were held or too many viewers' connections
+    /// were open.
     pub(crate) flooded: u64,
     /// Set-ups that were sent to servers.
     pub(crate) sent: u64,
@@ -271,7 +284,7 @@
     pub(crate) sessions: HashMap<u64, Session>,
     /// The servers by the number that the dispatcher uses.
     pub(crate) servers: HashMap<u32, Server>,
-    /// The numbers of the servers by their ids in the list.
+    /// The numbers of the servers by their ids in the list. Only a list adds an id.
     pub(crate) server_numbers: HashMap<String, u32>,
     pub(crate) next_server_number: u32,
     pub(crate) timers: Timers<Timer>,
@@ -284,6 +297,8 @@
     /// TEARDOWNs that are still to be sent, for lack of a connection to their servers.
     pub(crate) pending_teardowns: VecDeque<Teardown>,
     pub(crate) ended_sessions: EndedSessions,
+    /// Sessions handed over at servers that the list does not name.
+    pub(crate) unlisted_hand_overs: UnlistedHandOvers,
     /// Connections to be handled again in the next turn: they may have input left, or are closed.
     pub(crate) revisit_queue: VecDeque<ConnectionId>,
     /// Viewers' connections in the order in which they were accepted.
@@ -319,6 +334,7 @@
             held_attempts: Vec::new(),
             pending_teardowns: VecDeque::new(),
             ended_sessions: EndedSessions::default(),
+            unlisted_hand_overs: UnlistedHandOvers::default(),
             revisit_queue: VecDeque::new(),
             viewer_connections: VecDeque::new(),
             pending_notices: VecDeque::new(),
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -3,7 +3,7 @@
 use crate::node::SERVER_CHECK_INTERVAL_MS;
 use crate::state::{
     Attempt, CSEQ_OTHER, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState, PendingSetUp,
-    Role, Server, ServerConnection, Teardown, Timer,
+    Role, ServerConnection, Teardown, Timer,
 };
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp as rtsp;
@@ -15,19 +15,6 @@
         self.servers.get(&server_number).map_or("?", |s| s.id.as_str())
     }
 
-    /// The number of the server with this id. An unknown id gets a new number and an entry in `servers`,
-    /// without an address and with standing `Gone` until a list names it.
-    pub(crate) fn server_number(&mut self, id: &str) -> u32 {
-        if let Some(server_number) = self.server_numbers.get(id) {
-            return *server_number;
-        }
-        let server_number = self.next_server_number;
-        self.next_server_number = self.next_server_number.wrapping_add(1);
-        self.server_numbers.insert(id.to_string(), server_number);
-        self.servers.insert(server_number, Server { id: id.to_string(), ..Server::default() });
-        server_number
-    }
-
     /// Opens a connection to a listed server. At the limit of connections, another one is closed for it (see
     /// `close_idle_connection`). Returns `None` if no connection can be opened.
     pub(crate) fn dial(&mut self, server_number: u32, may_close_needed: bool) -> Option<ConnectionId> {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,8 +1,9 @@
 //! What viewers send: set-ups, the withdrawal of set-ups, the ends of sessions, and health checks.
 
 use crate::ended_sessions::EndReport;
+use crate::hand_overs::HandOver;
 use crate::node::Node;
-use crate::set_up::{SetUpRequest, new_session};
+use crate::set_up::new_session;
 use crate::shares::{RETRY_DELAY_MS, is_resource_exhaustion};
 use crate::state::{
     CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, MAX_INPUT_BYTES, Role, Timer, ViewerConnection,
@@ -289,7 +290,7 @@
 
     /// Marks a connection as identified as a viewer's: pending end notices are sent on it, and it is not
     /// closed at `UNIDENTIFIED_TIMEOUT_MS`.
-    fn mark_identified(&mut self, connection_id: ConnectionId) {
+    pub(crate) fn mark_identified(&mut self, connection_id: ConnectionId) {
         if self
             .state
             .viewer_connection(connection_id)
@@ -299,13 +300,14 @@
         }
     }
 
-    /// Handles a set-up: starts a play, adopts a session, or rejects it. Returns false if the connection is
+    /// Handles a set-up: starts a play, takes a session over, or rejects it. Returns false if the connection is
     /// to be closed.
     fn handle_set_up(&mut self, connection_id: ConnectionId, message: &Message) -> bool {
         let play = message.session;
         let now = self.state.now();
-        let is_known = self.state.sessions.contains_key(&play);
-        let set_up = match self.parse_set_up(now, message) {
+        let is_known =
+            self.state.sessions.contains_key(&play) || self.state.unlisted_hand_overs.contains(play);
+        let mut set_up = match self.parse_set_up(now, message) {
             Ok(set_up) => set_up,
             Err(cause) => {
                 debug!(target: "viewer", play = format!("{play:016x}"), "set-up not usable: {cause}");
@@ -317,18 +319,23 @@
                 return self.reject_set_up(connection_id, play, CAUSE_UNUSABLE, 0.0);
             }
         };
-        if let Some(server_id) = set_up.current_server_id.clone() {
-            if !is_known {
-                self.adopt_session(now, connection_id, play, set_up, &server_id);
-            }
-            return true;
-        }
+        let current_server_id = set_up.current_server_id.take();
         if is_known {
-            return false;
+            return current_server_id.is_some();
         }
-        self.state.stats.asked += 1;
         let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
         let viewer_ip = connection.peer_ip();
+        if let Some(server_id) = current_server_id {
+            let viewer_connection_id = connection_id;
+            return self.handle_hand_over(HandOver {
+                play,
+                viewer_connection_id,
+                viewer_ip,
+                server_id,
+                set_up,
+            });
+        }
+        self.state.stats.asked += 1;
         let Role::Viewer(viewer) = &mut connection.role else { return true };
         let is_over_limit = self.state.viewer_connections.len() > self.state.shares.viewers;
         if is_over_limit
@@ -349,52 +356,16 @@
 
     /// Rejects a set-up that never became a play, because it is unusable or over a limit. Returns false if
     /// the connection is to be closed, because more than `MAX_REJECTED_SET_UPS` were rejected on it.
-    fn reject_set_up(&mut self, connection_id: ConnectionId, play: u64, cause: u8, retry_after: f64) -> bool {
+    pub(crate) fn reject_set_up(
+        &mut self,
+        connection_id: ConnectionId,
+        play: u64,
+        cause: u8,
+        retry_after: f64,
+    ) -> bool {
         self.state.write_final_message(connection_id, play, cause, retry_after);
         let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
         viewer.rejected_set_ups += 1;
         viewer.rejected_set_ups <= MAX_REJECTED_SET_UPS
     }
-
-    /// Adopts a session that plays already at this server, unless the session's end was reported before. Such
-    /// an end is passed on to the side that does not know of it.
-    fn adopt_session(
-        &mut self,
-        now: f64,
-        connection_id: ConnectionId,
-        play: u64,
-        set_up: SetUpRequest,
-        server_id: &str,
-    ) {
-        let server_number = self.state.server_number(server_id);
-        let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
-        let viewer_ip = connection.peer_ip();
-        // The viewer keeps the connection while the session plays, to be notified of its end.
-        self.mark_identified(connection_id);
-        match self.state.ended_sessions.take_report(now, play) {
-            None => {}
-            // The session has ended already, and the report of its end arrived first.
-            Some(EndReport::Server(CAUSE_WITHDRAWN) | EndReport::Both) => return,
-            Some(EndReport::Server(cause)) => {
-                return self.state.notify_session_end(play, connection_id, viewer_ip, cause);
-            }
-            Some(EndReport::Viewer(cause)) => {
-                return self.state.tear_down_on_server(server_number, None, play, cause);
-            }
-        }
-        let request = set_up.request;
-        let mut session = new_session(connection_id, viewer_ip, set_up);
-        (session.server_number, session.is_playing, session.phase_started_at) =
-            (Some(server_number), true, now);
-        self.state.sessions.insert(play, session);
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.playing_sessions += 1;
-            if server.last_heard_at == 0.0 {
-                server.last_heard_at = now;
-            }
-        }
-        self.dispatcher.adopt(now, play, &request, server_number, &mut self.state);
-        // A server without a connection to this node cannot report anything about the session.
-        let _ = self.state.connection_to(server_number, false);
-    }
 }
