Hand-overs at listed servers are limited too, and keep no description

Cause: adopt_session took every hand-over at a listed server as a session that stands. Under a made-up id it stands for good, as no server ever reports its end, and it kept its set-up's description of up to 16 KiB, which only set-ups to servers need (on_set_up_succeeded drops it for usual sessions). So a viewer could fill the memory with ids alone.

Change: the description is dropped with the hand-over; from 8,192 sessions and set-ups on a hand-over is refused (41), its server is told, and refusals close the connection as they do elsewhere.

Test: hand_overs_at_listed_servers_are_limited.

--- a/crates/edge/tests/node_hand_overs.rs
+++ b/crates/edge/tests/node_hand_overs.rs
@@ -1,4 +1,4 @@
-//! Sessions that viewers hand over to a node at servers that no list names yet or ever.
+//! Sessions that viewers hand over to a node: at servers that no list names yet or ever, and more than the node may hold.
 
 mod fake_peers;
 mod node_fixture;
@@ -12,9 +12,10 @@
 const FAILED: u8 = 41;
 /// The viewer of a session that is over has to be notified within this time.
 const RELEASE_DEADLINE: Duration = Duration::from_secs(8);
-/// Limits of the node on hand-overs at servers that no list names (docs/operate-node.md).
+/// Limits of the node on hand-overs at servers that no list names, and on sessions and set-ups (docs/operate-node.md).
 const MAX_UNLISTED_PER_CONNECTION: u64 = 256;
 const MAX_UNLISTED: u64 = 2_048;
+const MAX_SESSIONS: u64 = 8_192;
 
 /// Encodes the hand-over of a session that plays at the server with this id.
 fn hand_over_message(session: u64, server_id: &str) -> Vec<u8> {
@@ -115,3 +116,34 @@
     viewers.push(last_viewer);
     viewers.iter_mut().for_each(Viewer::expect_no_message);
 }
+
+/// Guards against a node that goes over its memory because it takes any number of sessions over at servers that are listed.
+#[test]
+fn hand_overs_at_listed_servers_are_limited() {
+    const MEMORY_LIMIT_KB: usize = 64 << 10;
+    const SESSIONS_PER_CONNECTION: u64 = 500;
+    let description = "x".repeat(8 << 10);
+    let hand_over = |session: u64| {
+        let at_first = (18, "home:0;copies:1;top:1;at:s-0000000a");
+        set_up_message(session, &[at_first, (6, "0"), (48, &description)])
+    };
+    let fixture = start_fixture();
+    let connections = MAX_SESSIONS / SESSIONS_PER_CONNECTION + 1;
+    for client in 1..=connections {
+        let mut viewer = fixture.node.connect_viewer();
+        let first = 10_000 * client;
+        let bytes: Vec<u8> = (first..first + SESSIONS_PER_CONNECTION).flat_map(hand_over).collect();
+        viewer.send(&bytes);
+        if client < connections {
+            viewer.expect_no_message();
+        } else {
+            assert_eq!(viewer.next_message().expect("a refusal").cause(), FAILED);
+        }
+    }
+    // The server of a refused session is told that the session is over.
+    let mut connection = fixture.servers[0].accept();
+    while connection.next_request().expect("the node keeps the connection").method() != "TEARDOWN" {}
+    fixture.node.wait_for_log(&format!("sessions={MAX_SESSIONS} "));
+    let memory_kb = fixture.node.memory_kb();
+    assert!(memory_kb < MEMORY_LIMIT_KB, "{memory_kb} kB");
+}
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -19,6 +19,9 @@
 /// Maximum number of hand-overs at unlisted servers that may wait: of one connection, and of all together.
 const MAX_UNLISTED_PER_CONNECTION: usize = 256;
 const MAX_UNLISTED: usize = 2_048;
+/// A hand-over is refused while the node holds this many sessions and pending set-ups. They use about 1 KiB
+/// each.
+const MAX_SESSIONS: usize = 8_192;
 
 /// A session that a viewer has handed over.
 pub(crate) struct HandOver {
@@ -74,9 +77,11 @@
 impl Node {
     /// Handles the hand-over of a session that the node does not know: adopts the session if its server is
     /// listed, otherwise keeps the hand-over. Returns false if the connection is to be closed.
-    pub(crate) fn handle_hand_over(&mut self, hand_over: HandOver) -> bool {
+    pub(crate) fn handle_hand_over(&mut self, mut hand_over: HandOver) -> bool {
         // The viewer keeps the connection while the session plays, to be notified of its end.
         self.mark_identified(hand_over.viewer_connection_id);
+        // Only a set-up that is sent to a server needs its description.
+        hand_over.set_up.description = Vec::new();
         match self.state.server_numbers.get(&hand_over.server_id).copied() {
             Some(server_number) => self.adopt_session(hand_over, server_number),
             None => self.keep_unlisted(hand_over),
@@ -113,6 +118,10 @@
         if self.settle_reported_end(&hand_over, Some(server_number)) {
             return true;
         }
+        if self.state.sessions.len() >= MAX_SESSIONS {
+            self.state.tear_down_on_server(server_number, None, hand_over.play, CAUSE_WITHDRAWN);
+            return self.refuse_hand_over(&hand_over);
+        }
         let HandOver { play, viewer_connection_id, viewer_ip, set_up, .. } = hand_over;
         let now = self.state.now();
         let request = set_up.request;
