Responses of the name service are accepted for 30 s, not for eight queries

Cause: listing.rs kept the ids of the last 8 queries (MAX_PENDING_QUERIES) and queries every 150 to 250 ms, so that a response after 1.2 to 2 s came under an id that read_responses no longer knew. A slow name service is late with every response, so no list was ever used; that was logged at debug alone.

Evidence: with names=debug both nodes logged "its id belongs to no recent query" for every response from 2.5 s after the delay began (75 and 74 in 15 s), and never before. Ruled out: rejected responses (no warning), older lists (serial 2 arrived whole).

Change: a query is kept for 30 s with its time, 512 at most. Lateness does no harm, as a response holds the list of the moment in which it was sent. Responses under an unknown id count among the rejected ones, which are warned of; the log line of a list says how late it came.

--- a/crates/dns-discovery/src/lib.rs
+++ b/crates/dns-discovery/src/lib.rs
@@ -141,6 +141,8 @@
 /// Why a response of the name service was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ResponseError {
+    #[error("the id of the DNS response belongs to no recent query")]
+    UnknownId,
     #[error("the DNS response cannot be parsed: {0}")]
     Unparsable(String),
     #[error("the DNS message is not a response")]
--- a/crates/edge/tests/fake_peers/dns.rs
+++ b/crates/edge/tests/fake_peers/dns.rs
@@ -35,6 +35,8 @@
     pub serial: u32,
     pub records: Vec<ServerRecord>,
     pub mode: DnsMode,
+    /// How long after its query each response is sent. It holds the list as it is then.
+    pub delay: Duration,
 }
 
 /// A name service that runs on a thread of its own.
@@ -108,22 +110,37 @@
     out
 }
 
+/// Responds to a query from the present zone, unless that is silent.
+fn send_response(socket: &UdpSocket, query: &[u8], zone: &Mutex<Zone>, to: SocketAddr) {
+    let zone = zone.lock().expect("the lock of the zone");
+    if zone.mode != DnsMode::Silent {
+        let _ = socket.send_to(&encode_response(query, &zone), to);
+    }
+}
+
 impl DnsServer {
     /// Starts a name service that serves these records under serial 1.
     pub fn start(records: Vec<ServerRecord>) -> DnsServer {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
         let addr = socket.local_addr().expect("the address of the socket");
-        let zone = Arc::new(Mutex::new(Zone { serial: 1, records, mode: DnsMode::Normal }));
+        let zone =
+            Arc::new(Mutex::new(Zone { serial: 1, records, mode: DnsMode::Normal, delay: Duration::ZERO }));
         let queries = Arc::new(AtomicUsize::new(0));
         let (served_zone, received) = (zone.clone(), queries.clone());
         std::thread::spawn(move || {
             let mut buffer = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut buffer) {
-                {
-                    let zone = served_zone.lock().expect("the lock of the zone");
-                    if zone.mode != DnsMode::Silent {
-                        let _ = socket.send_to(&encode_response(&buffer[..size], &zone), from);
-                    }
+                let query = buffer[..size].to_vec();
+                let delay = served_zone.lock().expect("the lock of the zone").delay;
+                if delay.is_zero() {
+                    send_response(&socket, &query, &served_zone, from);
+                } else {
+                    let socket = socket.try_clone().expect("a copy of the socket");
+                    let zone = served_zone.clone();
+                    std::thread::spawn(move || {
+                        std::thread::sleep(delay);
+                        send_response(&socket, &query, &zone, from);
+                    });
                 }
                 received.fetch_add(1, Ordering::SeqCst);
             }
--- a/crates/edge/tests/node_lifecycle.rs
+++ b/crates/edge/tests/node_lifecycle.rs
@@ -56,6 +56,9 @@
     let one_record = vec![fixture.servers[1].dns_record()];
     fixture.dns.update_zone(|zone| (zone.serial, zone.records, zone.mode) = (2, one_record, mode));
     fixture.dns.wait_for_queries(3);
+    if mode != DnsMode::Silent {
+        fixture.node.wait_for_log("DNS response rejected");
+    }
     let mut viewer = fixture.node.connect_viewer();
     let connection = fixture.start_session(&mut viewer, 33);
     fixture.dns.update_zone(|zone| zone.mode = DnsMode::Normal);
--- a/crates/edge/tests/node_slow_peers.rs
+++ b/crates/edge/tests/node_slow_peers.rs
@@ -7,6 +7,7 @@
 use fake_peers::{DESCRIPTION, DnsMode, Node, encode_message, rtsp_response, set_up_message};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements};
 use std::net::Shutdown;
+use std::time::Duration;
 use test_case::test_case;
 
 /// Set-up parameter: only the second server holds the title.
@@ -29,6 +30,28 @@
     }
 }
 
+// ---- a slow name service ----
+
+/// Guards against a node that forgets its queries before the name service has responded, and so never uses a list again: it would go on
+/// sending set-ups to a server that drains.
+#[test_case(2_500; "later than a dozen queries")]
+#[test_case(7_000; "later than thirty queries")]
+fn late_response_of_the_name_service_is_used(delay_ms: u64) {
+    let fixture = start_fixture();
+    fixture.node.wait_for_log("serial=1");
+    fixture.dns.update_zone(|zone| {
+        zone.delay = Duration::from_millis(delay_ms);
+        (zone.serial, zone.records[0].draining) = (2, true);
+    });
+    fixture.node.wait_for_log("serial=2");
+    let mut viewer = fixture.node.connect_viewer();
+    viewer.send(&set_up_message(330, &[TITLE_AT_FIRST]));
+    viewer.expect_message(RELEASE, 330);
+    assert!(!fixture.servers[0].has_connection());
+}
+
+// ---- slow servers and viewers ----
+
 /// Other plays are served between any two bytes of the answer, and the slow one at the end.
 #[test]
 fn server_answering_byte_by_byte_delays_no_other_play() {
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -9,11 +9,11 @@
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use pulleystair::{Listing, Outcome, Standing};
-use pulleystair_dns_discovery::{self as dns, ServerEntry};
+use pulleystair_dns_discovery::{self as dns, ResponseError, ServerEntry};
 use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 /// Interval between queries for the list, ms, and the fraction by which each interval varies, so that nodes
 /// that started or were signalled together do not query together. A change is in use well within half a
@@ -22,19 +22,31 @@
 const QUERY_JITTER: f64 = 0.25;
 /// Maximum number of names of zones, and of names of kinds, counting those of the settings and others.
 const MAX_NAMES: usize = 4_096;
-/// Queries whose responses are still accepted.
-const MAX_PENDING_QUERIES: usize = 8;
+/// How long the response to a query is accepted, ms. A late response is as good as another: it holds the list
+/// as it was when the response was sent.
+const RESPONSE_TIMEOUT_MS: f64 = 30_000.0;
+/// Maximum number of queries whose responses are accepted.
+const MAX_PENDING_QUERIES: usize = 512;
+/// Maximum number of responses that are read in a turn.
+const MAX_RESPONSES_PER_TURN: usize = 8;
 /// Of consecutive rejected responses, one in this many is logged as a warning.
 const ERRORS_PER_WARNING: u32 = 50;
 
+/// A query whose response is accepted.
+struct PendingQuery {
+    id: u16,
+    /// When it was sent, Unix ms.
+    sent_at: f64,
+}
+
 /// The client of the name service.
 pub(crate) struct DnsClient {
     /// The UDP socket, connected to the name service.
     socket: UdpSocket,
     /// The socket's registration with the event loop.
     source: RegistrationToken,
-    /// The ids of the last queries.
-    query_ids: VecDeque<u16>,
+    /// The queries whose responses are accepted, oldest first. Several responses to one query are accepted.
+    pending_queries: VecDeque<PendingQuery>,
     /// When the next query is due, Unix ms. Timers that fire earlier are stale and ignored.
     next_query_at: f64,
     /// The revision of the list in use, which is the number of the last event that it includes.
@@ -73,7 +85,7 @@
         Ok(DnsClient {
             socket,
             source,
-            query_ids: VecDeque::new(),
+            pending_queries: VecDeque::new(),
             next_query_at: 0.0,
             revision,
             has_response,
@@ -81,6 +93,60 @@
             consecutive_errors: 0,
         })
     }
+
+    /// Sends a query. One that cannot be sent now is repeated at the next interval.
+    fn send_query(&mut self, now: f64, id: u16) {
+        let is_expired = |query: &PendingQuery| now - query.sent_at > RESPONSE_TIMEOUT_MS;
+        while self.pending_queries.len() >= MAX_PENDING_QUERIES
+            || self.pending_queries.front().is_some_and(is_expired)
+        {
+            self.pending_queries.pop_front();
+        }
+        self.pending_queries.push_back(PendingQuery { id, sent_at: now });
+        let _ = self.socket.send(&dns::query(id));
+    }
+
+    /// Reads a response; `None` if there is none to read.
+    fn receive(&mut self, now: f64) -> Option<Result<ListResponse, ResponseError>> {
+        let n = self.socket.recv(&mut self.buffer).ok()?;
+        let bytes = &self.buffer[..n];
+        let id = dns::response_id(bytes);
+        // Of several queries with the same id, the newest is taken for the response's.
+        let query = self.pending_queries.iter().rev().find(|query| Some(query.id) == id);
+        let Some(query) = query else { return Some(Err(ResponseError::UnknownId)) };
+        let delay = now - query.sent_at;
+        Some(dns::parse_response(bytes).map(|(serial, servers)| ListResponse { serial, servers, delay }))
+    }
+
+    /// Logs a response that was rejected, if it is the first of several in a row or one in
+    /// [`ERRORS_PER_WARNING`]: if the list is not updated for lack of responses, the log has to show it.
+    fn log_rejected(&mut self, error: &ResponseError) {
+        self.consecutive_errors += 1;
+        if self.consecutive_errors % ERRORS_PER_WARNING == 1 {
+            warn!(target: "names", rev = self.revision, in_a_row = self.consecutive_errors, "DNS response rejected: {error}");
+        }
+    }
+
+    /// Takes the revision of a response's list into use. Returns whether the list is to be applied: if it is
+    /// newer than the one in use, or the first response that confirms the initial list.
+    fn accept(&mut self, serial: u32) -> bool {
+        self.consecutive_errors = 0;
+        let is_newer = dns::is_newer(self.revision, serial);
+        let is_confirmed = self.revision == Some(serial) && !self.has_response;
+        if is_newer || is_confirmed {
+            (self.revision, self.has_response) = (Some(serial), true);
+        }
+        is_newer || is_confirmed
+    }
+}
+
+/// A response of the name service.
+struct ListResponse {
+    /// The revision of the list.
+    serial: u32,
+    servers: Vec<ServerEntry>,
+    /// How long after its query the response arrived, ms.
+    delay: f64,
 }
 
 impl NodeState {
@@ -120,52 +186,35 @@
     /// quarter.
     pub(crate) fn query_list(&mut self) {
         let id = self.state.rng.rand_range(0..1 << 16) as u16;
-        let dns_client = &mut self.dns_client;
-        dns_client.query_ids.push_back(id);
-        if dns_client.query_ids.len() > MAX_PENDING_QUERIES {
-            dns_client.query_ids.pop_front();
-        }
-        // A query that cannot be sent now is repeated at the next interval.
-        let _ = dns_client.socket.send(&dns::query(id));
+        let now = self.state.now();
+        self.dns_client.send_query(now, id);
         let delay = QUERY_INTERVAL_MS * (1.0 + QUERY_JITTER * (2.0 * self.state.rng.rand_float() - 1.0));
-        let next_query_at = self.state.now() + delay;
-        dns_client.next_query_at = next_query_at;
+        let next_query_at = now + delay;
+        self.dns_client.next_query_at = next_query_at;
         self.state.schedule(next_query_at, Timer::QueryList);
     }
 
     /// Reads responses of the name service and applies each list that is newer than the one in use.
     fn read_responses(&mut self) {
-        for _ in 0..MAX_PENDING_QUERIES {
-            let dns_client = &mut self.dns_client;
-            let Ok(n) = dns_client.socket.recv(&mut dns_client.buffer) else { return };
-            let response = &dns_client.buffer[..n];
-            if !dns::response_id(response).is_some_and(|id| dns_client.query_ids.contains(&id)) {
-                debug!(target: "names", "DNS response ignored: its id belongs to no recent query");
-                continue;
-            }
-            match dns::parse_response(response) {
-                Err(e) => {
-                    dns_client.consecutive_errors += 1;
-                    // If the list is not updated for lack of a complete response, the log has to show it.
-                    if dns_client.consecutive_errors % ERRORS_PER_WARNING == 1 {
-                        warn!(target: "names", rev = dns_client.revision, in_a_row = dns_client.consecutive_errors, "DNS response rejected: {e}");
-                    }
-                }
-                Ok((serial, list)) => {
-                    dns_client.consecutive_errors = 0;
-                    let is_newer = dns::is_newer(dns_client.revision, serial);
-                    let is_same = dns_client.revision == Some(serial);
-                    // The first response that is not older confirms the initial list.
-                    if is_newer || is_same && !dns_client.has_response {
-                        (dns_client.revision, dns_client.has_response) = (Some(serial), true);
-                        info!(target: "names", serial, servers = list.len(), "new server list");
-                        self.apply_list(true, false, &list);
-                    }
-                }
+        for _ in 0..MAX_RESPONSES_PER_TURN {
+            let now = self.state.now();
+            match self.dns_client.receive(now) {
+                None => return,
+                Some(Err(error)) => self.dns_client.log_rejected(&error),
+                Some(Ok(response)) => self.apply_response(&response),
             }
         }
     }
 
+    /// Applies the list of a response if it is newer than the one in use.
+    fn apply_response(&mut self, response: &ListResponse) {
+        if self.dns_client.accept(response.serial) {
+            let ListResponse { serial, servers, delay } = response;
+            info!(target: "names", serial, servers = servers.len(), delay, "new server list");
+            self.apply_list(true, false, servers);
+        }
+    }
+
     /// Updates the servers from a list, whole or changes only, and reports it to the dispatcher. `is_cached`:
     /// the list may be old.
     fn apply_list(&mut self, is_whole: bool, is_cached: bool, entries: &[ServerEntry]) {
