A reload keeps the client of a name service whose address stays the same

Cause: apply_config_file (listing.rs) replaced the client at every SIGHUP, also for the same resolver, and with it the socket and the ids of the queries that had no response yet. With reloads closer together than the name service is slow, no list was used.

Change: the client is replaced only for another resolver; its address is passed in, so that a failed replacement leaves nothing to be undone.

Test: late_response_is_used_despite_reloads_in_quick_succession (a SIGHUP each 0.3 s, responses 1.5 s late) failed before, with no list 2 within 10 s, and passes.

--- a/crates/edge/tests/node_slow_peers.rs
+++ b/crates/edge/tests/node_slow_peers.rs
@@ -7,7 +7,7 @@
 use fake_peers::{DESCRIPTION, DnsMode, Node, encode_message, rtsp_response, set_up_message};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements};
 use std::net::Shutdown;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 /// Set-up parameter: only the second server holds the title.
@@ -50,6 +50,22 @@
     assert!(!fixture.servers[0].has_connection());
 }
 
+/// Guards against a reload that drops the queries under way: with reloads closer together than the name service is slow, no list would
+/// ever be used.
+#[test]
+fn late_response_is_used_despite_reloads_in_quick_succession() {
+    let fixture = start_fixture();
+    fixture.node.wait_for_log("serial=1");
+    fixture.dns.update_zone(|zone| (zone.serial, zone.delay) = (2, Duration::from_millis(1_500)));
+    let has_new_list = || fixture.node.log.lock().expect("the lock of the log").contains("serial=2");
+    let changed_at = Instant::now();
+    while !has_new_list() {
+        assert!(changed_at.elapsed() < fake_peers::TIMEOUT, "the new list was not used in time");
+        fixture.node.send_signal("HUP");
+        std::thread::sleep(Duration::from_millis(300));
+    }
+}
+
 // ---- slow servers and viewers ----
 
 /// Other plays are served between any two bytes of the answer, and the slow one at the end.
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -72,10 +72,11 @@
     /// Opens the socket and registers it with the event loop.
     pub(crate) fn new(
         state: &NodeState,
+        resolver: SocketAddr,
         revision: Option<u32>,
         has_response: bool,
     ) -> anyhow::Result<DnsClient> {
-        let socket = connect_socket(state.config.resolver).context("resolver")?;
+        let socket = connect_socket(resolver).context("resolver")?;
         let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
         let source = state.loop_handle.insert_source(source, |_, _, node: &mut Node| {
             node.read_responses();
@@ -302,8 +303,7 @@
         }
     }
 
-    /// Checks the file, replaces the client of the name service (also if its address is the same), and
-    /// applies the file's events if they are newer.
+    /// Checks the file, turns to the name service that it names, and applies its events if they are newer.
     fn apply_config_file(&mut self) -> anyhow::Result<()> {
         let config = Config::load(&self.state.config.path)?;
         let old = &self.state.config;
@@ -319,18 +319,30 @@
         if config.policy_settings != old.policy_settings {
             warn!(target: "node", "settings: they have changed; the settings from the start stay in force until a restart");
         }
-        let old_resolver = std::mem::replace(&mut self.state.config.resolver, config.resolver);
-        let dns_client = DnsClient::new(&self.state, self.dns_client.revision, self.dns_client.has_response)
-            .inspect_err(|_| self.state.config.resolver = old_resolver)?;
-        let old = std::mem::replace(&mut self.dns_client, dns_client);
-        self.state.loop_handle.remove(old.source);
-        info!(target: "names", was = %old_resolver, resolver = %config.resolver, "name service changed");
+        self.use_resolver(config.resolver)?;
         if self.dns_client.revision.is_none_or(|rev| config.known.revision > rev) {
             self.state.config.known = config.known;
             self.apply_initial_events();
         }
         Ok(())
     }
+
+    /// Queries the name service at this address from now on. If that is the present one, the client is kept:
+    /// responses to its queries may still be on the way.
+    fn use_resolver(&mut self, resolver: SocketAddr) -> anyhow::Result<()> {
+        let old_resolver = self.state.config.resolver;
+        if resolver == old_resolver {
+            info!(target: "names", %resolver, "name service unchanged");
+            return Ok(());
+        }
+        let dns_client =
+            DnsClient::new(&self.state, resolver, self.dns_client.revision, self.dns_client.has_response)?;
+        let old_client = std::mem::replace(&mut self.dns_client, dns_client);
+        self.state.loop_handle.remove(old_client.source);
+        self.state.config.resolver = resolver;
+        info!(target: "names", was = %old_resolver, %resolver, "name service changed");
+        Ok(())
+    }
 }
 
 /// Whether the error was caused by a lack of descriptors or memory.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -58,7 +58,7 @@
     let (address, listener) = (listener.local_addr()?, Arc::new(listener));
     let dispatcher = Dispatcher::new(config.policy_settings.clone(), config.salt);
     let state = NodeState::new(config, loop_handle.clone());
-    let dns_client = DnsClient::new(&state, None, false)?;
+    let dns_client = DnsClient::new(&state, state.config.resolver, None, false)?;
     let mut node = Node { dispatcher, state, dns_client, is_halted: false };
     node.apply_initial_events();
     let registration = loop_handle.insert_source(
