Fronts choose the port of status queries too; the lab reads it back from the log

What was seen: in 3 of 77 runs of slow_server_is_named..., and once each in two other tests of many_fronts, a front did not listen; the traced ones ended with "sharing.ask: ... Address already in use".

Cause: free_port (crates/lab/src/fronts.rs) bound a port, read its number and closed it; the front binds it only when it starts, up to eight fronts later. In between the machine may give the port to any other socket, such as a connection.

Change: `sharing.ask` is 127.0.0.1:0 like the other two addresses on which a front listens, and the lab reads the logged address. The tests and the subcommand `drift` in them are given that. `drift` names a configuration without a port.

Test: fronts_choose_all_ports_on_which_they_listen; with the port chosen as before it fails (seen on a scratch copy).

--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -17,6 +17,10 @@
 /// Requests the status report of the front with this configuration, at the address `sharing.ask`.
 pub fn query(config: &Config) -> anyhow::Result<Value> {
     let address = config.sharing.ask.context("sharing.ask: not set, so this front can't be queried")?;
+    ensure!(
+        address.port() != 0,
+        "sharing.ask: {address} has no port; the front has logged which one it chose"
+    );
     let mut stream =
         TcpStream::connect_timeout(&address, TIMEOUT).with_context(|| format!("sharing.ask: {address}"))?;
     stream.set_read_timeout(Some(TIMEOUT))?;
--- a/crates/edge/tests/many_fronts.rs
+++ b/crates/edge/tests/many_fronts.rs
@@ -60,6 +60,19 @@
     sleep(Duration::from_secs_f64(lend_ms * 1.1 / 1000.0)).await;
 }
 
+// ---- the ports of the fronts ----
+
+/// Guards against a port that the lab chooses and another socket takes before the front listens on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn fronts_choose_all_ports_on_which_they_listen() {
+    let fleet = TestFleet::start_first(sharing_scenario(2, 1), edge_program(), 0, |_, _| {}).await;
+    let text = std::fs::read(fleet.folder().join("front-0.json")).expect("the configuration is written");
+    let config: Value = serde_json::from_slice(&text).expect("the configuration is JSON");
+    for listener in ["/listen", "/fleet/listen", "/sharing/ask"] {
+        assert_eq!(config.pointer(listener), Some(&json!("127.0.0.1:0")), "{listener}");
+    }
+}
+
 // ---- the shared budget for a cold server ----
 
 const STREAMS: u32 = 500;
--- a/crates/edge/tests/rollout.rs
+++ b/crates/edge/tests/rollout.rs
@@ -99,9 +99,14 @@
     println!("{:?} until front {front} reported {verdicts:?}", started_at.elapsed());
 }
 
-/// Runs the subcommand `drift` with the configuration of a front.
+/// Runs the subcommand `drift` with the configuration of a front, in which the port that the front chose is filled in.
 fn run_drift_command(fleet: &TestFleet, front: usize, more_arguments: &[&str]) -> Output {
-    let file = fleet.folder().join(format!("front-{front}.json"));
+    let file = fleet.folder().join(format!("drift-{front}.json"));
+    std::fs::copy(fleet.folder().join(format!("front-{front}.json")), &file)
+        .expect("the configuration is copied");
+    sharing::change_json(&file, |config| {
+        config["sharing"]["ask"] = json!(fleet.fronts.status_address(front));
+    });
     let run =
         || Command::new(EDGE).args(["--level", "error", "drift"]).arg(file).args(more_arguments).output();
     tokio::task::block_in_place(run).expect("the drift command runs")
--- a/crates/edge/tests/sharing/mod.rs
+++ b/crates/edge/tests/sharing/mod.rs
@@ -6,7 +6,7 @@
 use pulleystair_edge::config::Config;
 use pulleystair_edge::status::query;
 use pulleystair_fleet_member::{AllocationResult, FleetConfig, FleetMember, GossipConfig, stable_id};
-use pulleystair_lab::fronts::front_name;
+use pulleystair_lab::front_config::front_name;
 use pulleystair_lab::testbed::Testbed;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -55,7 +55,8 @@
 
 /// Status report of a running front, as JSON.
 pub fn query_status(fleet: &TestFleet, front: usize) -> Value {
-    let config = load_front_config(fleet, front);
+    let mut config = load_front_config(fleet, front);
+    config.sharing.ask = fleet.fronts.status_address(front);
     tokio::task::block_in_place(|| query(&config)).expect("the running front reports its status")
 }
 
@@ -135,7 +136,7 @@
 }
 
 /// Changes a JSON file and replaces it atomically.
-fn change_json(file: &Path, change: impl FnOnce(&mut Value)) {
+pub fn change_json(file: &Path, change: impl FnOnce(&mut Value)) {
     let mut json: Value = serde_json::from_slice(&std::fs::read(file).expect("the file is readable"))
         .expect("the file is JSON");
     change(&mut json);
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -1,6 +1,7 @@
 //! Runs the real fronts as processes: writes their configurations, keys and certificates, and starts, kills and stops
 //! them.
 
+use crate::front_config::full_front_config;
 use crate::relays::Relays;
 use crate::scenario::Scenario;
 use anyhow::{Context, Result, bail, ensure};
@@ -23,11 +24,14 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A front's process and its listening address while it runs.
+#[derive(Default)]
 struct Front {
     child: Option<Child>,
     address: Option<SocketAddr>,
     /// The address of the present or the last process.
     last_address: Option<SocketAddr>,
+    /// The address on which the present or the last process answers status queries, if the fronts share state.
+    status_address: Option<SocketAddr>,
 }
 
 /// The program to run as a front.
@@ -83,105 +87,16 @@
     format!("{token_kind} tokens of this laboratory, not a secret {number}").into_bytes()
 }
 
-/// The name of a front among its peers, in the exchange of shared state.
-pub fn front_name(front: usize) -> String {
-    format!("front-{front}")
-}
-
-/// A loopback address with a port that is free at present.
-fn free_port() -> Result<SocketAddr> {
-    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
-/// The configuration of a front. If the fronts of the scenario share state, it also has the addresses of the relays to
-/// all fronts, itself included, and a free port on which it serves status queries (`ask`).
-fn full_front_config(
-    scenario: &Scenario,
-    front: usize,
-    relays: &Option<Relays>,
-) -> Result<serde_json::Value> {
-    let mut config = front_config(scenario, front);
-    if let (Some(relays), Some(sharing)) = (relays, &scenario.sharing) {
-        let peer = |to: usize| json!({ "name": front_name(to), "at": relays.relay_address(front, to) });
-        config["fleet"]["name"] = json!("laboratory");
-        config["fleet"]["listen"] = json!("127.0.0.1:0");
-        config["fleet"]["peers"] = (0..scenario.fronts).map(peer).collect();
-        config["sharing"] = json!(sharing);
-        config["sharing"]["ask"] = json!(free_port()?);
-    }
-    Ok(config)
-}
-
-/// The configuration of a front without shared state.
-pub fn front_config(scenario: &Scenario, front: usize) -> serde_json::Value {
-    let fleet = &scenario.fleet;
-    let total_link_kb: f64 = fleet.link_kb * fleet.servers as f64;
-    let products: Vec<serde_json::Value> = scenario
-        .products
-        .iter()
-        .map(|p| {
-            let mut product = serde_json::to_value(p).unwrap_or_default();
-            if let Some(product) = product.as_object_mut() {
-                ["part", "titles", "holders", "seconds"].iter().for_each(|name| {
-                    product.remove(*name);
-                });
-            }
-            product
-        })
-        .collect();
-    json!({
-        "listen": "127.0.0.1:0",
-        "zone": scenario.zones[front % scenario.zones.len()],
-        "zones": scenario.zones,
-        "fronts": scenario.fronts,
-        "rank": front,
-        "seed": scenario.seed.wrapping_add(front as u64),
-        "list": "list.json",
-        "products": products,
-        "ladder": scenario.ladder,
-        "fleet": {
-            "cells": fleet.servers,
-            "racks": fleet.racks,
-            "kinds": [{ "name": "standard", "streams": fleet.streams }],
-            "rack_link_kb": fleet.rack_link_kb,
-            "link_unit_kb": fleet.link_kb,
-            "links_kb": total_link_kb,
-            "shared_part": fleet.shared_part,
-            "notes_late_ms": fleet.notes_late_ms,
-            "stall_cost": 7.0,
-            "change_costs_s": 0.5,
-        },
-        "rules": {
-            "drain_grace_ms": scenario.rules.drain_grace_ms,
-            "cold_ms": scenario.rules.cold_ms,
-            "cold_from": scenario.rules.cold_from,
-            "overload_factor": scenario.rules.overload_factor,
-            "allocations": scenario.rules.allocations,
-            "budget": scenario.rules.budget,
-            "retry_after_ms": scenario.rules.retry_after_ms,
-            "probes": scenario.rules.probes,
-        },
-        "prices": { "probe": 0.01, "cross_zone": 0.02 },
-        "limits": scenario.limits,
-        "reads": scenario.reads,
-        "admission": scenario.admission,
-        "keys": "keys.json",
-        "homes": if scenario.fronts > 1 { json!("homes.json") } else { json!(null) },
-        "tls": if scenario.tls { json!({ "players": "players", "servers": "servers" }) } else { json!({}) },
-    })
-}
-
 impl Fronts {
     /// Writes keys, certificates and configurations to the folder. The server list must exist before a front starts.
     pub fn new(scenario: &Scenario, program: Program, folder: &Path, recorder: Recorder) -> Result<Fronts> {
         let relays =
             scenario.sharing.as_ref().map(|_| Relays::open(scenario.fronts, scenario.seed)).transpose()?;
         for front in 0..scenario.fronts {
-            let text = serde_json::to_string_pretty(&full_front_config(scenario, front, &relays)?)?;
+            let text = serde_json::to_string_pretty(&full_front_config(scenario, front, &relays))?;
             std::fs::write(folder.join(format!("front-{front}.json")), text)?;
         }
-        let front_states =
-            (0..scenario.fronts).map(|_| Front { child: None, address: None, last_address: None }).collect();
+        let front_states = (0..scenario.fronts).map(|_| Front::default()).collect();
         let fronts = Fronts {
             program,
             folder: folder.into(),
@@ -272,7 +187,7 @@
             .spawn()
             .with_context(|| format!("failed to start {}", self.program.path.display()))?;
         let start = Instant::now();
-        let address = loop {
+        let (address, status_address) = loop {
             let new_output = &std::fs::read(&file)?[log_length..];
             if let Some(address) = logged_address(new_output, "listens") {
                 if let Some((relays, exchange_address)) =
@@ -280,7 +195,7 @@
                 {
                     relays.set_front_address(front, exchange_address);
                 }
-                break address;
+                break (address, logged_address(new_output, "answers operators' requests"));
             }
             ensure!(
                 start.elapsed() < START_TIMEOUT,
@@ -290,7 +205,8 @@
             sleep(Duration::from_millis(5)).await;
         };
         let mut fronts = self.fronts.lock().expect("no task panics while it holds the fronts");
-        fronts[front] = Front { child: Some(child), address: Some(address), last_address: Some(address) };
+        fronts[front] =
+            Front { child: Some(child), address: Some(address), last_address: Some(address), status_address };
         // The addresses of all fronts are known once each has been started.
         let homes: Option<Vec<SocketAddr>> = fronts.iter().map(|front| front.last_address).collect();
         if let Some(homes) = homes.filter(|homes| homes.len() > 1) {
@@ -352,6 +268,12 @@
         self.fronts.lock().expect("no task panics while it holds the fronts")[front].child.as_ref()?.id()
     }
 
+    /// The address on which a front answers status queries, or last did; none before its first start, and none if the
+    /// fronts share no state.
+    pub fn status_address(&self, front: usize) -> Option<SocketAddr> {
+        self.fronts.lock().expect("no task panics while it holds the fronts")[front].status_address
+    }
+
     /// Waits until a front exits by itself; true if it exited with success, false also if it was not running. The front
     /// then counts as stopped for `process_id` and `resource_usage`, but `choose_front` may still choose it.
     pub async fn wait_exited(&self, front: usize) -> bool {
