Read each response of queued plays while later requests are sent

Cause: the test's. It sent all 300 requests before it read any response, and a response is recorded when it is read. In the traces s0, s1, s2, ... are recorded 567 ms late and 0.05 ms apart, which is the loop that begins to read, not the front: on a busy machine the sending takes longer than the plays may wait.

Change: each response is read in the background from the moment its request is sent. run_plays of the tests of many fronts read its responses one after the other, with the same fault; it reads them at once, and its two copies are one.

--- a/crates/edge/tests/bounds.rs
+++ b/crates/edge/tests/bounds.rs
@@ -75,13 +75,18 @@
     fleet.wait_for_log("list taken", 2).await;
     // Eight concurrent set-ups of 100 ms each, for little more than a second: fewer than 100 of the 300 requests are served.
     fleet.set_faults(|faults| faults.slow = 20.0);
-    let mut pending = Vec::new();
+    // Each response is read while the later requests are sent, so that it is recorded when it arrives.
+    let (mut pending, mut leaving) = (Vec::new(), Vec::new());
     for i in 0..300 {
-        pending.push(fleet.send_manifest_request(0, &format!("s{i}"), FREE).await);
+        let request = fleet.send_manifest_request(0, &format!("s{i}"), FREE).await;
+        if (250..260).contains(&i) {
+            leaving.push(request);
+        } else {
+            pending.push(request.read_in_background());
+        }
     }
     // Ten of the waiting viewers leave.
-    pending.drain(250..260).for_each(|request| request.leave());
-    let pending: Vec<_> = pending.into_iter().map(|request| request.read_in_background()).collect();
+    leaving.into_iter().for_each(test_fleet::PendingRequest::leave);
     let (mut played, mut overloaded) = (0, 0);
     for request in pending {
         let answer = request.await.expect("the player task succeeds");
--- a/crates/edge/tests/sharing/mod.rs
+++ b/crates/edge/tests/sharing/mod.rs
@@ -2,7 +2,7 @@
 //! test, and the status that fronts report. Used by the targets `many_fronts` and `rollout`.
 #![allow(dead_code)] // Each test target uses a part of it.
 
-use crate::test_fleet::{self, TestFleet};
+use crate::test_fleet::{self, PendingRequest, TestFleet};
 use pulleystair_edge::config::Config;
 use pulleystair_edge::status::query;
 use pulleystair_fleet_member::{AllocationResult, FleetConfig, FleetMember, GossipConfig, stable_id};
@@ -75,7 +75,7 @@
     session_prefix: &str,
     fronts: &[usize],
     count: usize,
-) -> Vec<test_fleet::PendingRequest> {
+) -> Vec<PendingRequest> {
     send_play_requests_from(fleet, session_prefix, 0, fronts, count).await
 }
 
@@ -86,7 +86,7 @@
     title: usize,
     fronts: &[usize],
     count: usize,
-) -> Vec<test_fleet::PendingRequest> {
+) -> Vec<PendingRequest> {
     let mut requests = Vec::new();
     for n in 0..count {
         for front in fronts {
@@ -100,11 +100,9 @@
     requests
 }
 
-/// Like [`send_play_requests`], but waits for all responses.
+/// Sends requests like [`send_play_requests`] and waits for all responses.
 pub async fn run_plays(fleet: &TestFleet, session_prefix: &str, fronts: &[usize], count: usize) {
-    for pending in send_play_requests(fleet, session_prefix, fronts, count).await {
-        pending.response().await;
-    }
+    run_plays_from_title(fleet, session_prefix, 0, fronts, count).await;
 }
 
 /// Like [`run_plays`], beginning with the given title.
@@ -115,8 +113,10 @@
     fronts: &[usize],
     count: usize,
 ) {
-    for pending in send_play_requests_from(fleet, session_prefix, title, fronts, count).await {
-        pending.response().await;
+    let requests = send_play_requests_from(fleet, session_prefix, title, fronts, count).await;
+    let responses: Vec<_> = requests.into_iter().map(PendingRequest::read_in_background).collect();
+    for response in responses {
+        response.await.expect("the player task succeeds");
     }
 }
 
