Node: a module each for connections, lost servers, reload and the DNS client

Functions moved as they were.

handle_server_message, one match of 115 lines over five booleans, is now a function each for responses, requests and notes, and what a play is to the sender of a message is one value (PlayState). One difference without effect: a 200 to a TEARDOWN no longer has the viewer's connection read first.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,14 +2,16 @@
 //! and the server list by DNS. The dispatcher decides where a play goes and what follows an outcome; this
 //! crate connects it to the network.
 //!
-//! - `config`: the configuration file
+//! - `config` and `reload`: the configuration file, at the start and on SIGHUP
 //! - `node`: the event loop
 //! - `stopping`: the shutdown
 //! - `viewers` and `servers`: what viewers and servers send
 //! - `set_up`: the parsing of a viewer's set-up
 //! - `hand_overs`: sessions that play already when the node starts
 //! - `attempts`: attempts at servers
-//! - `listing`: the list of servers
+//! - `listing` and `dns_client`: the list of servers, and the client of the name service
+//! - `server_connections`: the connections to servers
+//! - `lost_servers`: servers that are lost, silent, restarted or gone
 //! - `state`: the node's state beside the dispatcher
 //! - `actions`: what the node does for the dispatcher
 //! - `to_viewers` and `to_servers`: what is sent to viewers and servers
@@ -19,10 +21,14 @@
 mod actions;
 mod attempts;
 mod config;
+mod dns_client;
 mod ended_sessions;
 mod hand_overs;
 mod listing;
+mod lost_servers;
 mod node;
+mod reload;
+mod server_connections;
 mod servers;
 mod set_up;
 mod shares;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,18 +1,11 @@
 //! The list of media servers: the initial events of the configuration file, and then the responses of the
 //! name service, which is queried about every 200 ms.
 
-use crate::config::Config;
+use crate::dns_client::ListResponse;
 use crate::node::Node;
-use crate::shares::{RETRY_DELAY_MS, is_resource_exhaustion};
 use crate::state::{AttemptEnd, NodeState, Server, Timer};
-use anyhow::Context;
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use pulleystair::{Listing, Outcome, Standing};
-use pulleystair_dns_discovery::{self as dns, ResponseError, ServerEntry};
-use std::collections::VecDeque;
-use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use pulleystair_dns_discovery::ServerEntry;
 use tracing::{info, warn};
 
 /// Interval between queries for the list, ms, and the fraction by which each interval varies, so that nodes
@@ -22,134 +15,8 @@
 const QUERY_JITTER: f64 = 0.25;
 /// Maximum number of names of zones, and of names of kinds, counting those of the settings and others.
 const MAX_NAMES: usize = 4_096;
-/// How long the response to a query is accepted, ms. A late response is as good as another: it holds the list
-/// as it was when the response was sent.
-const RESPONSE_TIMEOUT_MS: f64 = 30_000.0;
-/// Maximum number of queries whose responses are accepted.
-const MAX_PENDING_QUERIES: usize = 512;
 /// Maximum number of responses that are read in a turn.
 const MAX_RESPONSES_PER_TURN: usize = 8;
-/// Of consecutive rejected responses, one in this many is logged as a warning.
-const ERRORS_PER_WARNING: u32 = 50;
-
-/// A query whose response is accepted.
-struct PendingQuery {
-    id: u16,
-    /// When it was sent, Unix ms.
-    sent_at: f64,
-}
-
-/// The client of the name service.
-pub(crate) struct DnsClient {
-    /// The UDP socket, connected to the name service.
-    socket: UdpSocket,
-    /// The socket's registration with the event loop.
-    source: RegistrationToken,
-    /// The queries whose responses are accepted, oldest first. Several responses to one query are accepted.
-    pending_queries: VecDeque<PendingQuery>,
-    /// When the next query is due, Unix ms. Timers that fire earlier are stale and ignored.
-    next_query_at: f64,
-    /// The revision of the list in use, which is the number of the last event that it includes.
-    pub(crate) revision: Option<u32>,
-    /// Whether a response was accepted since the start.
-    pub(crate) has_response: bool,
-    /// The buffer for responses. Pages of it that no response has filled use no memory.
-    buffer: Vec<u8>,
-    /// How many consecutive responses were rejected.
-    consecutive_errors: u32,
-}
-
-/// Opens a non-blocking UDP socket that is connected to the name service.
-fn connect_socket(resolver: SocketAddr) -> io::Result<UdpSocket> {
-    let any: SocketAddr = if resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0; 16], 0).into() };
-    let socket = UdpSocket::bind(any)?;
-    socket.connect(resolver)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket)
-}
-
-impl DnsClient {
-    /// Opens the socket and registers it with the event loop.
-    pub(crate) fn new(
-        state: &NodeState,
-        resolver: SocketAddr,
-        revision: Option<u32>,
-        has_response: bool,
-    ) -> anyhow::Result<DnsClient> {
-        let socket = connect_socket(resolver).context("resolver")?;
-        let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
-        let source = state.loop_handle.insert_source(source, |_, _, node: &mut Node| {
-            node.read_responses();
-            Ok(PostAction::Continue)
-        });
-        let source = source.map_err(|e| anyhow::Error::new(std::io::Error::from(e.error)))?;
-        Ok(DnsClient {
-            socket,
-            source,
-            pending_queries: VecDeque::new(),
-            next_query_at: 0.0,
-            revision,
-            has_response,
-            buffer: vec![0; dns::MAX_BYTES],
-            consecutive_errors: 0,
-        })
-    }
-
-    /// Sends a query. One that cannot be sent now is repeated at the next interval.
-    fn send_query(&mut self, now: f64, id: u16) {
-        let is_expired = |query: &PendingQuery| now - query.sent_at > RESPONSE_TIMEOUT_MS;
-        while self.pending_queries.len() >= MAX_PENDING_QUERIES
-            || self.pending_queries.front().is_some_and(is_expired)
-        {
-            self.pending_queries.pop_front();
-        }
-        self.pending_queries.push_back(PendingQuery { id, sent_at: now });
-        let _ = self.socket.send(&dns::query(id));
-    }
-
-    /// Reads a response; `None` if there is none to read.
-    fn receive(&mut self, now: f64) -> Option<Result<ListResponse, ResponseError>> {
-        let n = self.socket.recv(&mut self.buffer).ok()?;
-        let bytes = &self.buffer[..n];
-        let id = dns::response_id(bytes);
-        // Of several queries with the same id, the newest is taken for the response's.
-        let query = self.pending_queries.iter().rev().find(|query| Some(query.id) == id);
-        let Some(query) = query else { return Some(Err(ResponseError::UnknownId)) };
-        let delay = now - query.sent_at;
-        Some(dns::parse_response(bytes).map(|(serial, servers)| ListResponse { serial, servers, delay }))
-    }
-
-    /// Logs a response that was rejected, if it is the first of several in a row or one in
-    /// [`ERRORS_PER_WARNING`]: if the list is not updated for lack of responses, the log has to show it.
-    fn log_rejected(&mut self, error: &ResponseError) {
-        self.consecutive_errors += 1;
-        if self.consecutive_errors % ERRORS_PER_WARNING == 1 {
-            warn!(target: "names", rev = self.revision, in_a_row = self.consecutive_errors, "DNS response rejected: {error}");
-        }
-    }
-
-    /// Takes the revision of a response's list into use. Returns whether the list is to be applied: if it is
-    /// newer than the one in use, or the first response that confirms the initial list.
-    fn accept(&mut self, serial: u32) -> bool {
-        self.consecutive_errors = 0;
-        let is_newer = dns::is_newer(self.revision, serial);
-        let is_confirmed = self.revision == Some(serial) && !self.has_response;
-        if is_newer || is_confirmed {
-            (self.revision, self.has_response) = (Some(serial), true);
-        }
-        is_newer || is_confirmed
-    }
-}
-
-/// A response of the name service.
-struct ListResponse {
-    /// The revision of the list.
-    serial: u32,
-    servers: Vec<ServerEntry>,
-    /// How long after its query the response arrived, ms.
-    delay: f64,
-}
-
 impl NodeState {
     /// The number of a server that a list names. A new id gets a new number and an entry in `servers`.
     fn number_listed_server(&mut self, entry: &ServerEntry, listing: Listing) -> u32 {
@@ -196,7 +63,7 @@
     }
 
     /// Reads responses of the name service and applies each list that is newer than the one in use.
-    fn read_responses(&mut self) {
+    pub(crate) fn read_responses(&mut self) {
         for _ in 0..MAX_RESPONSES_PER_TURN {
             let now = self.state.now();
             match self.dns_client.receive(now) {
@@ -279,75 +146,6 @@
             }
         }
     }
-
-    /// Reads the configuration file again and from then on queries the name service that it names. If this
-    /// fails for lack of a descriptor, it is tried again: at once if a viewer's connection can be closed,
-    /// otherwise after a delay.
-    pub(crate) fn reload_config(&mut self, is_retry: bool) {
-        let error = match self.apply_config_file() {
-            Err(e) if is_out_of_resources(&e) && self.evict_viewer_connection() => {
-                self.apply_config_file().err()
-            }
-            other => other.err(),
-        };
-        match error {
-            Some(e) if is_out_of_resources(&e) => {
-                if !is_retry {
-                    warn!(target: "node", "the old configuration stays in force until there is a descriptor: {e:#}");
-                }
-                let retry_at = self.state.now() + RETRY_DELAY_MS;
-                self.state.schedule(retry_at, Timer::ReloadConfig);
-            }
-            Some(e) => warn!(target: "node", "the old configuration stays in force: {e:#}"),
-            None => self.query_list(),
-        }
-    }
-
-    /// Checks the file, turns to the name service that it names, and applies its events if they are newer.
-    fn apply_config_file(&mut self) -> anyhow::Result<()> {
-        let config = Config::load(&self.state.config.path)?;
-        let old = &self.state.config;
-        // The file belongs to another node, and perhaps to another customer, so no part of it is applied.
-        if (&config.name, config.listen) != (&old.name, old.listen) {
-            let (name, listen) = (&old.name, old.listen);
-            anyhow::bail!(
-                "name, listen: the file is for {:?} at {}, this node is {name:?} at {listen}",
-                config.name,
-                config.listen
-            );
-        }
-        if config.policy_settings != old.policy_settings {
-            warn!(target: "node", "settings: they have changed; the settings from the start stay in force until a restart");
-        }
-        self.use_resolver(config.resolver)?;
-        if self.dns_client.revision.is_none_or(|rev| config.known.revision > rev) {
-            self.state.config.known = config.known;
-            self.apply_initial_events();
-        }
-        Ok(())
-    }
-
-    /// Queries the name service at this address from now on. If that is the present one, the client is kept:
-    /// responses to its queries may still be on the way.
-    fn use_resolver(&mut self, resolver: SocketAddr) -> anyhow::Result<()> {
-        let old_resolver = self.state.config.resolver;
-        if resolver == old_resolver {
-            info!(target: "names", %resolver, "name service unchanged");
-            return Ok(());
-        }
-        let dns_client =
-            DnsClient::new(&self.state, resolver, self.dns_client.revision, self.dns_client.has_response)?;
-        let old_client = std::mem::replace(&mut self.dns_client, dns_client);
-        self.state.loop_handle.remove(old_client.source);
-        self.state.config.resolver = resolver;
-        info!(target: "names", was = %old_resolver, %resolver, "name service changed");
-        Ok(())
-    }
-}
-
-/// Whether the error was caused by a lack of descriptors or memory.
-fn is_out_of_resources(e: &anyhow::Error) -> bool {
-    e.chain().any(|cause| cause.downcast_ref().is_some_and(is_resource_exhaustion))
 }
 
 /// The index of a name in `names`. A name that the settings lack gets an index of its own after the others,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,16 +5,14 @@
 //! (`NodeState::send`), and `servers` receives the response and forwards it to the viewer.
 
 use crate::config::Config;
-use crate::listing::DnsClient;
-use crate::state::{CAUSE_FAILED, NodeState, Role, Timer};
+use crate::dns_client::DnsClient;
+use crate::state::{NodeState, Role, Timer};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
-use pulleystair::Outcome;
 use pulleystair_connections::{ConnectionHandler, ConnectionId};
 use pulleystair_dispatcher::Dispatcher;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use tracing::{debug, enabled, info};
@@ -183,49 +181,6 @@
         }
     }
 
-    /// Handles the restart of a server: sessions and connections that are older than the start are lost.
-    pub(crate) fn on_server_restarted(&mut self, server_number: u32, started_at: f64) {
-        for play in self.state.plays_playing_on(server_number) {
-            if self.state.sessions.get(&play).is_some_and(|s| s.phase_started_at < started_at) {
-                self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
-            }
-        }
-        for connection_id in
-            self.state.servers.get(&server_number).map(|s| s.connections.clone()).unwrap_or_default()
-        {
-            if self
-                .state
-                .server_connection(connection_id)
-                .is_some_and(|server_connection| server_connection.dialled_at < started_at)
-            {
-                self.on_server_connection_lost(connection_id);
-            }
-        }
-    }
-
-    /// Forgets the servers that are gone and that no session or pending attempt uses, in the dispatcher too,
-    /// and closes the connections to them. A server to which the dispatcher still refers is kept for now.
-    pub(crate) fn forget_gone_servers(&mut self) {
-        let servers_in_use: HashSet<u32> =
-            self.state.sessions.values().filter_map(|s| s.server_number).collect();
-        let gone = self
-            .state
-            .servers
-            .iter()
-            .filter(|(n, s)| s.is_gone() && !servers_in_use.contains(n))
-            .map(|(n, _)| *n);
-        for server_number in gone.collect::<Vec<u32>>() {
-            if !self.dispatcher.forget_server(server_number) {
-                continue;
-            }
-            let Some(server) = self.state.servers.remove(&server_number) else { continue };
-            self.state.server_numbers.remove(&server.id);
-            for connection_id in server.connections {
-                self.state.close_server_connection(connection_id);
-            }
-        }
-    }
-
     /// Logs the state of each server, so that it can be compared with the server's sockets.
     fn log_server_view(&mut self) {
         let mut numbers: Vec<u32> = self.state.servers.keys().copied().collect();
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,25 +1,39 @@
-//! What media servers send: responses to set-ups, notes on playing sessions and their ends, load reports; and
-//! the loss of connections to servers.
+//! What media servers send: responses to set-ups, notes on playing sessions and their ends, load reports.
 
 use crate::ended_sessions::EndReport;
-use crate::node::{Node, SERVER_CHECK_INTERVAL_MS};
+use crate::node::Node;
 use crate::state::{
-    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_INPUT_BYTES, NOTICE_TTL_MS,
-    Role, Server, Session,
+    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_INPUT_BYTES, Role,
 };
 use pulleystair::{LoadMetric, Outcome};
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp::{Message, StartLine};
 use pulleystair_viewer_protocol::{self as protocol, code, kind};
-use tracing::{debug, info};
+use tracing::debug;
 
 /// Maximum number of reads of one connection in a turn.
 const MAX_SERVER_READS_PER_TURN: usize = 16;
-/// The part of the time within which viewers must be notified of an end that is kept for detecting the end
-/// and for sending the notice, ms.
-const DETECTION_MARGIN_MS: f64 = 750.0;
-/// A server counts as lost after this many consecutive connections that could not be established.
-const MAX_FAILED_DIALS: u32 = 2;
+
+/// The sender of a message: a connection to a server.
+#[derive(Clone, Copy)]
+struct Sender {
+    connection_id: ConnectionId,
+    server_number: u32,
+}
+
+/// How a play stands with the sender of a message about it.
+enum PlayState {
+    /// The node does not know the play.
+    Unknown,
+    /// The play is at another server, or at none.
+    Elsewhere,
+    /// The play's set-up waits for its response on this connection.
+    Pending,
+    /// The play's set-up was sent to this server on another connection, or is still to be sent.
+    PendingOnOtherConnection,
+    /// The play's session plays at this server.
+    Playing,
+}
 
 impl Node {
     /// Handles the events of a connection to a server: it is established, has input, or is closed.
@@ -109,44 +123,68 @@
 
     /// Handles one message of a server.
     fn handle_server_message(&mut self, connection_id: ConnectionId, server_number: u32, message: &Message) {
-        let now = self.state.now();
-        let play = message.session;
+        let sender = Sender { connection_id, server_number };
         let load: Vec<LoadMetric> = message
             .load_values()
             .filter_map(|(name, value)| pulleystair_settings::load_metric(name, value))
             .collect();
-        // If the viewer has gone by now, the response must not be forwarded, so the viewer's input is handled
-        // first.
-        let awaits_response = |s: &&Session| !s.is_playing && message.cseq() != Some(CSEQ_PROBE);
-        if let (StartLine::Response(200), Some(session)) =
-            (&message.start, self.state.sessions.get(&play).filter(awaits_response))
-        {
-            self.handle_viewer_connection(session.viewer_connection_id);
-        }
-        let session_of_play = self.state.sessions.get(&play);
-        let session = session_of_play.filter(|s| s.server_number == Some(server_number));
-        let is_playing = session.is_some_and(|s| s.is_playing);
-        let is_pending =
-            session.is_some_and(|s| !s.is_playing && s.server_connection_id == Some(connection_id));
         match &message.start {
             StartLine::Response(100..=199) => {}
             StartLine::Response(_) if message.cseq() == Some(CSEQ_TEARDOWN) => {}
             StartLine::Response(_) if message.cseq() == Some(CSEQ_PROBE) => {
+                let now = self.state.now();
                 self.dispatcher.on_load_report(now, server_number, &load, &mut self.state);
             }
-            StartLine::Response(200) if is_pending => {
-                self.on_set_up_succeeded(now, connection_id, server_number, play, &message.body, &load)
+            StartLine::Response(status) => self.handle_set_up_response(sender, *status, message, &load),
+            StartLine::Request(method) => self.handle_server_request(sender, method, message, &load),
+        }
+    }
+
+    /// How a play stands with the sender of a message about it.
+    fn play_state(&self, sender: Sender, play: u64) -> PlayState {
+        let Some(session) = self.state.sessions.get(&play) else { return PlayState::Unknown };
+        if session.server_number != Some(sender.server_number) {
+            PlayState::Elsewhere
+        } else if session.is_playing {
+            PlayState::Playing
+        } else if session.server_connection_id == Some(sender.connection_id) {
+            PlayState::Pending
+        } else {
+            PlayState::PendingOnOtherConnection
+        }
+    }
+
+    /// Handles the final response to a set-up.
+    fn handle_set_up_response(
+        &mut self,
+        sender: Sender,
+        status: u16,
+        message: &Message,
+        load: &[LoadMetric],
+    ) {
+        let Sender { connection_id, server_number } = sender;
+        let now = self.state.now();
+        let play = message.session;
+        // If the viewer has gone by now, the response must not be forwarded, so the viewer's input is handled
+        // first.
+        let waiting_session = self.state.sessions.get(&play).filter(|session| !session.is_playing);
+        if let (200, Some(session)) = (status, waiting_session) {
+            self.handle_viewer_connection(session.viewer_connection_id);
+        }
+        match (status, self.play_state(sender, play)) {
+            (200, PlayState::Pending) => {
+                self.on_set_up_succeeded(now, connection_id, server_number, play, &message.body, load);
             }
             // The response belongs to an attempt that was abandoned on another connection. This play has a
             // newer attempt or a session at the same server, which a TEARDOWN would end.
-            StartLine::Response(200) if session.is_some() => self.state.stats.late += 1,
-            StartLine::Response(200) => {
-                // The response is late or belongs to no known play. The server must not keep a session that
-                // was given up.
+            (200, PlayState::Playing | PlayState::PendingOnOtherConnection) => self.state.stats.late += 1,
+            // The response is late or belongs to no known play. The server must not keep a session that was
+            // given up.
+            (200, PlayState::Unknown | PlayState::Elsewhere) => {
                 self.state.stats.late += 1;
                 self.state.tear_down_on_server(server_number, Some(connection_id), play, CAUSE_WITHDRAWN);
             }
-            StartLine::Response(status) if is_pending => {
+            (_, PlayState::Pending) => {
                 // In RTSP, 453 is "Not Enough Bandwidth", 454 "Session Not Found" and 504 "Gateway Time-out".
                 let outcome = match status {
                     453 => Outcome::Full,
@@ -154,76 +192,72 @@
                     504 => Outcome::Broken,
                     _ => Outcome::Error,
                 };
-                self.on_attempt_ended(play, server_number, outcome, &load);
+                self.on_attempt_ended(play, server_number, outcome, load);
             }
-            StartLine::Response(_) => {}
-            StartLine::Request(method) => match method.as_str() {
-                "TEARDOWN" if is_playing => {
-                    let cause = message.cause().unwrap_or(CAUSE_FAILED);
-                    let outcome = match cause {
-                        CAUSE_ENDED => Outcome::Finished,
-                        CAUSE_WITHDRAWN => Outcome::Withdrawn,
-                        _ => Outcome::Broken,
-                    };
-                    self.on_session_ended_by_server(play, server_number, outcome, cause, &load);
-                }
-                "TEARDOWN" if session_of_play.is_none() => {
-                    let cause = message.cause().unwrap_or(CAUSE_FAILED);
-                    self.state.ended_sessions.record(now, play, EndReport::Server(cause));
-                }
-                "TEARDOWN" if is_pending => {
-                    self.on_attempt_ended(play, server_number, Outcome::Broken, &load)
-                }
-                // The session counts as withdrawn, and the viewer is notified that it has failed.
-                "REDIRECT" if is_playing => self.on_session_ended_by_server(
-                    play,
-                    server_number,
-                    Outcome::Withdrawn,
-                    CAUSE_FAILED,
-                    &load,
-                ),
-                // A note: the delivered share ("d"), the load of the link ("l") or of the uplink ("u"), or
-                // the rung that the server has changed to ("r").
-                "ANNOUNCE" if is_playing => {
-                    let (Some(metric), Some(value)) =
-                        (message.field("X-Why"), message.number_field("Figure"))
-                    else {
-                        return;
-                    };
-                    match metric {
-                        "d" => self.dispatcher.on_play_note(
-                            now,
-                            play,
-                            server_number,
-                            LoadMetric::Delivered(value),
-                            &mut self.state,
-                        ),
-                        "l" => self.dispatcher.on_play_note(
-                            now,
-                            play,
-                            server_number,
-                            LoadMetric::Link(value),
-                            &mut self.state,
-                        ),
-                        "u" => self.dispatcher.on_play_note(
-                            now,
-                            play,
-                            server_number,
-                            LoadMetric::Uplink(value),
-                            &mut self.state,
-                        ),
-                        "r" => {
-                            let rung = value.max(0.0) as usize;
-                            self.dispatcher.set_adopted_rung(play, rung);
-                            if let Some(session) = self.state.sessions.get_mut(&play) {
-                                (session.rung, session.rung_sent) = (rung, rung);
-                            }
-                        }
-                        _ => {}
-                    }
-                }
-                _ => {}
-            },
+            _ => {}
+        }
+    }
+
+    /// Handles a request of a server: the end of a session, or a note on one.
+    fn handle_server_request(
+        &mut self,
+        sender: Sender,
+        method: &str,
+        message: &Message,
+        load: &[LoadMetric],
+    ) {
+        let server_number = sender.server_number;
+        let play = message.session;
+        match (method, self.play_state(sender, play)) {
+            ("TEARDOWN", PlayState::Playing) => {
+                let cause = message.cause().unwrap_or(CAUSE_FAILED);
+                let outcome = match cause {
+                    CAUSE_ENDED => Outcome::Finished,
+                    CAUSE_WITHDRAWN => Outcome::Withdrawn,
+                    _ => Outcome::Broken,
+                };
+                self.on_session_ended_by_server(play, server_number, outcome, cause, load);
+            }
+            ("TEARDOWN", PlayState::Unknown) => {
+                let cause = message.cause().unwrap_or(CAUSE_FAILED);
+                let now = self.state.now();
+                self.state.ended_sessions.record(now, play, EndReport::Server(cause));
+            }
+            ("TEARDOWN", PlayState::Pending) => {
+                self.on_attempt_ended(play, server_number, Outcome::Broken, load);
+            }
+            // The session counts as withdrawn, and the viewer is notified that it has failed.
+            ("REDIRECT", PlayState::Playing) => {
+                self.on_session_ended_by_server(play, server_number, Outcome::Withdrawn, CAUSE_FAILED, load)
+            }
+            ("ANNOUNCE", PlayState::Playing) => self.handle_note(server_number, message),
+            _ => {}
+        }
+    }
+
+    /// Handles a note on a playing session: the delivered share (`d`), the load of the link (`l`) or of the
+    /// uplink (`u`), or the rung that the server has changed to (`r`).
+    fn handle_note(&mut self, server_number: u32, message: &Message) {
+        let play = message.session;
+        let (Some(reason), Some(value)) = (message.field("X-Why"), message.number_field("Figure")) else {
+            return;
+        };
+        let metric = match reason {
+            "d" => LoadMetric::Delivered(value),
+            "l" => LoadMetric::Link(value),
+            "u" => LoadMetric::Uplink(value),
+            "r" => return self.on_rung_changed_by_server(play, value.max(0.0) as usize),
+            _ => return,
+        };
+        let now = self.state.now();
+        self.dispatcher.on_play_note(now, play, server_number, metric, &mut self.state);
+    }
+
+    /// Takes the rung that the server of a playing session has changed to.
+    fn on_rung_changed_by_server(&mut self, play: u64, rung: usize) {
+        self.dispatcher.set_adopted_rung(play, rung);
+        if let Some(session) = self.state.sessions.get_mut(&play) {
+            (session.rung, session.rung_sent) = (rung, rung);
         }
     }
 
@@ -311,103 +345,4 @@
             );
         }
     }
-
-    /// Handles a connection to a server that could not be established, was lost, or brought input that cannot
-    /// be parsed.
-    pub(crate) fn on_server_connection_lost(&mut self, connection_id: ConnectionId) {
-        let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
-        let up = connection.poll_established() == Some(true);
-        let bytes_sent = connection.bytes_sent();
-        let Role::Server(server_connection) = &mut connection.role else { return };
-        let (server_number, lost_set_ups) =
-            (server_connection.server_number, std::mem::take(&mut server_connection.pending_set_ups));
-        self.state.close_server_connection(connection_id);
-        let (playing, left) = self
-            .state
-            .servers
-            .get(&server_number)
-            .map_or((0, 0), |s| (s.playing_sessions, s.connections.len()));
-        let id = self.state.server_id(server_number);
-        debug!(target: "server", id, up, open = lost_set_ups.len(), playing, left, "connection lost");
-        for set_up in lost_set_ups {
-            // A set-up of which no byte was sent cannot have run.
-            let outcome =
-                if !up || bytes_sent <= set_up.offset { Outcome::Unreachable } else { Outcome::Broken };
-            self.on_attempt_ended(set_up.play, server_number, outcome, &[]);
-        }
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.failed_dials += u32::from(!up);
-            if server.playing_sessions > 0 {
-                if server.failed_dials >= MAX_FAILED_DIALS {
-                    self.on_server_lost(server_number);
-                } else if server.connections.is_empty() {
-                    self.reconnect(server_number, false);
-                }
-            }
-        }
-        self.report_ends();
-    }
-
-    /// Dials a server with sessions that has no connection or is silent, because the server may have ends to
-    /// report. If there is no address to dial, the server counts as lost. `may_close_needed`: the only
-    /// connection to another server with sessions may be closed for the new one.
-    fn reconnect(&mut self, server_number: u32, may_close_needed: bool) {
-        if self.state.servers.get(&server_number).is_some_and(|s| s.dial_address().is_none()) {
-            return self.on_server_lost(server_number);
-        }
-        // If no descriptor is left, the next check dials the server.
-        let _ = self.state.dial(server_number, may_close_needed);
-    }
-
-    /// Ends all sessions at a server that is lost, and closes the connections to it.
-    fn on_server_lost(&mut self, server_number: u32) {
-        let plays = self.state.plays_playing_on(server_number);
-        info!(target: "server", server = self.state.server_id(server_number), plays = plays.len(), "server lost: its sessions end");
-        for play in plays {
-            self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
-        }
-        let Some(server) = self.state.servers.get_mut(&server_number) else { return };
-        server.failed_dials = 0;
-        for connection_id in server.connections.clone() {
-            self.on_server_connection_lost(connection_id);
-        }
-    }
-
-    /// Dials servers with sessions that have no connection, or were silent for `silence_limit`. That is as
-    /// late as the viewers' deadline for notices allows, so that a server that is cut off for some seconds
-    /// keeps its sessions. A server that is listed as gone cannot be dialled: it is lost at the first check at
-    /// which it has no connection, or was silent for `NodeLimits::note_timeout`.
-    ///
-    /// If more servers have sessions than there may be connections, the servers without one are dialled in
-    /// turn, the longest silent first. After half of `silence_limit` they may close a connection to a server
-    /// with sessions. Each check can replace all connections, so with M servers and K connections a server is
-    /// heard again within half of `silence_limit` plus M / K checks.
-    pub(crate) fn check_silent_servers(&mut self, now: f64) {
-        let limits = &self.state.limits;
-        let note_timeout = limits.note_timeout();
-        let silence_limit = note_timeout.max(
-            NOTICE_TTL_MS
-                - DETECTION_MARGIN_MS
-                - f64::from(MAX_FAILED_DIALS) * (limits.dial_timeout + SERVER_CHECK_INTERVAL_MS),
-        );
-        let is_late =
-            |s: &Server| now - s.last_heard_at > if s.is_gone() { note_timeout } else { silence_limit };
-        let is_silent = |s: &Server| s.playing_sessions > 0 && (s.connections.is_empty() || is_late(s));
-        let silent_servers = self.state.servers.iter().filter(|(_, s)| is_silent(s));
-        let mut silent_servers: Vec<(f64, u32)> =
-            silent_servers.map(|(server_number, s)| (s.last_heard_at, *server_number)).collect();
-        silent_servers.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (last_heard_at, server_number) in silent_servers {
-            let connections =
-                self.state.servers.get(&server_number).map(|s| s.connections.clone()).unwrap_or_default();
-            let may_close_needed = connections.is_empty() && now - last_heard_at > silence_limit / 2.0;
-            if !connections.into_iter().any(|connection_id| {
-                self.state
-                    .server_connection(connection_id)
-                    .is_some_and(|server_connection| !server_connection.is_established)
-            }) {
-                self.reconnect(server_number, may_close_needed);
-            }
-        }
-    }
 }
