--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -7,12 +7,13 @@
 
 mod actions;
 mod indices;
+mod records;
 
 pub use actions::{Actions, PlayRequest};
 use indices::{Indices, Titles};
 use pulleystair::logic::Policy;
 use pulleystair::{Listing, LoadMetric, Next, Outcome, Placement, Play, RungChanges, ServerHint, Settings};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// The timer after which discovery is asked for the server list again. Other timers are indices of plays.
 const LIST_TIMER: u32 = u32::MAX;
@@ -68,21 +69,6 @@
         }
     }
 
-    /// Whether the settings name this product. A play of any other product must not be added.
-    pub fn has_product(&self, product: usize) -> bool {
-        self.policy.has_product(product)
-    }
-
-    /// The open play with this id, for the host's records.
-    pub fn play(&self, play_id: u64) -> Option<&Play> {
-        self.by_id.get(&play_id).map(|play_index| &self.plays[*play_index])
-    }
-
-    /// Number of open plays: waiting, set up or playing.
-    pub fn play_count(&self) -> usize {
-        self.by_id.len()
-    }
-
     /// Asks discovery for changes of the server list where it has to be asked: now, or after a delay if the
     /// last call failed.
     pub fn watch_list(&mut self, failed: bool, actions: &mut impl Actions) {
@@ -113,11 +99,6 @@
         }
     }
 
-    /// All settings, with the defaults in effect filled in as [`Policy::active_settings`] describes.
-    pub fn active_settings(&self) -> Settings {
-        self.policy.active_settings()
-    }
-
     /// Uses another value for a setting from now on, within the limits of [`Policy::override_setting`]: a setting that is read
     /// only at the start keeps its former effect.
     pub fn override_setting(&mut self, name: &str, value: f64) {
@@ -125,25 +106,6 @@
         self.has_new_facts = true;
     }
 
-    /// The servers in whose queues plays wait.
-    pub fn awaited_servers(&self) -> BTreeSet<u32> {
-        self.waiting
-            .iter()
-            .filter_map(|play_index| Some(self.servers.ids[self.plays[*play_index].waiting_for?]))
-            .collect()
-    }
-
-    /// Numbers of set-ups in flight and of running plays, by server and product.
-    pub fn play_counts(&self) -> BTreeMap<(u32, usize), (u32, u32)> {
-        let mut counts: BTreeMap<(u32, usize), (u32, u32)> = BTreeMap::new();
-        for play in self.by_id.values().map(|play_index| &self.plays[*play_index]) {
-            let Some(server_index) = play.server else { continue };
-            let count = counts.entry((self.servers.ids[server_index], play.product)).or_default();
-            if play.playing { count.1 += 1 } else { count.0 += 1 }
-        }
-        counts
-    }
-
     /// Drops what is known of a server that is gone and whose id will not be used again, unless an open play still refers to
     /// it. Returns true once nothing is left of the server.
     pub fn forget_server(&mut self, server_id: u32) -> bool {
@@ -161,12 +123,6 @@
         true
     }
 
-    /// Number of set-ups and running plays on a server, for the host's records.
-    pub fn play_count_at(&self, server_id: u32) -> usize {
-        let Some(&server_index) = self.servers.by_id.get(&server_id) else { return 0 };
-        self.by_id.values().filter(|play_index| self.plays[**play_index].server == Some(server_index)).count()
-    }
-
     /// Takes a viewer's request for a play with a new id, and places the play.
     pub fn add_play(&mut self, now: f64, play_id: u64, request: &PlayRequest, actions: &mut impl Actions) {
         let play_index = self.insert_play(play_id, request);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! The front process: accepts viewers' requests over HTTP, sets their plays up at media servers, and relays segments.
 //! `main.rs` is the command line.
 //!
-//! - [`edge`]: the event loop, and the start and stop of a front.
+//! - [`edge`]: the event loop and the start of a front; `stopping`: its stop.
 //! - `players`, `servers`: events of connections to players and to media servers.
 //! - `state`: what the front holds beside the dispatcher; `actions` carries out the dispatcher's decisions on it, with
 //!   `answers` to players and `server_requests` to media servers.
@@ -32,5 +32,6 @@
 mod state;
 mod stats;
 pub mod status;
+mod stopping;
 mod tls;
 mod watch;
--- a/crates/edge/tests/test_fleet/mod.rs
+++ b/crates/edge/tests/test_fleet/mod.rs
@@ -2,11 +2,14 @@
 //! the rules on what was observed on the sockets. Used by all test targets that start fronts.
 #![allow(dead_code)] // Each test target uses a part of it.
 
+mod requests;
+
+pub use requests::PendingRequest;
+
 use pulleystair_dash::address;
 use pulleystair_dash::token::EntryClaims;
 use pulleystair_fake_servers::http::{HttpPeer, Message};
 use pulleystair_fake_servers::model::ServerFaults;
-use pulleystair_fake_servers::recorder::Recorder;
 use pulleystair_lab::fronts::{FRONT_NAME, Program};
 use pulleystair_lab::scenario::Scenario;
 use pulleystair_lab::testbed::Testbed;
@@ -341,39 +344,6 @@
     }
 }
 
-/// A manifest request whose response has not been read.
-pub struct PendingRequest {
-    pub peer: HttpPeer,
-    request: u64,
-    recorder: Recorder,
-}
-
-impl PendingRequest {
-    /// Waits for the response and records it.
-    pub async fn response(mut self) -> Message {
-        let answer =
-            tokio::time::timeout(MAX_WAIT, self.peer.read_response()).await.expect("a response arrives");
-        let answer = answer.expect("the response is complete").expect("the front responds");
-        self.recorder.record(Observed::Answered { request: self.request, status: answer.status });
-        answer
-    }
-
-    /// Reads the response in a separate task, so that the recorded moment is that of its arrival, not that of a later await.
-    pub fn read_in_background(self) -> tokio::task::JoinHandle<Message> {
-        tokio::spawn(self.response())
-    }
-
-    /// Observation that the connection broke before the response, as its player sees it; the caller records it.
-    pub fn connection_lost(&self) -> Observed {
-        Observed::Cut { request: self.request }
-    }
-
-    /// Closes the connection without waiting for the response, and records that the viewer left.
-    pub fn leave(self) {
-        self.recorder.record(Observed::Left { request: self.request });
-    }
-}
-
 /// Number of set-ups that servers have read.
 pub fn set_up_count(seen: &[Observation]) -> usize {
     seen.iter().filter(|s| matches!(s.what, Observed::SetUp { .. })).count()
