Refused hand-overs no longer close their connection

Found on reading the change again: refusals counted as rejected set-ups, so that the 257th closed the connection, with set-ups of other viewers pending on it.

Change: a refusal is written and nothing else; handle_hand_over has no say on the connection any more. Memory stays bounded, as a refused hand-over leaves nothing.

Test: hand_overs_at_listed_servers_are_limited sends 400 hand-overs over the limit beside a pending set-up.

--- a/crates/edge/tests/node_hand_overs.rs
+++ b/crates/edge/tests/node_hand_overs.rs
@@ -3,8 +3,8 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DnsMode, DnsServer, MediaServer, Node, Viewer, set_up_message};
-use node_fixture::{NodeFixture, RELEASE, start_fixture};
+use fake_peers::{DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, Viewer, set_up_message};
+use node_fixture::{ANSWER, NodeFixture, RELEASE, start_fixture};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -140,10 +140,19 @@
             assert_eq!(viewer.next_message().expect("a refusal").cause(), FAILED);
         }
     }
+    // However many hand-overs are refused, what else is pending on the connection goes on.
+    let mut viewer = fixture.node.connect_viewer();
+    viewer.send(&set_up_message(1, &[(18, "home:1;copies:1;top:1")]));
+    let (mut server_connection, request) = fixture.next_set_up(1);
+    viewer.send(&(2_000..2_400).flat_map(hand_over).collect::<Vec<u8>>());
+    (2_000..2_400).for_each(|session| drop(viewer.expect_message(RELEASE, session)));
+    server_connection.respond(&request, 200, DESCRIPTION);
+    viewer.expect_message(ANSWER, 1);
     // The server of a refused session is told that the session is over.
     let mut connection = fixture.servers[0].accept();
     while connection.next_request().expect("the node keeps the connection").method() != "TEARDOWN" {}
-    fixture.node.wait_for_log(&format!("sessions={MAX_SESSIONS} "));
+    // The limit is one on hand-overs: the usual session has come on top.
+    fixture.node.wait_for_log(&format!("sessions={} ", MAX_SESSIONS + 1));
     let memory_kb = fixture.node.memory_kb();
     assert!(memory_kb < MEMORY_LIMIT_KB, "{memory_kb} kB");
 }
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -10,7 +10,7 @@
 use crate::ended_sessions::EndReport;
 use crate::node::Node;
 use crate::set_up::{SetUpRequest, new_session};
-use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN};
+use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState};
 use pulleystair_connections::ConnectionId;
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
@@ -74,10 +74,19 @@
     }
 }
 
+impl NodeState {
+    /// Refuses a hand-over that is over a limit. Its connection stays open, however many are refused: it may be
+    /// other viewers that have used the limit up.
+    fn refuse_hand_over(&mut self, hand_over: &HandOver) {
+        self.stats.flooded += 1;
+        self.write_final_message(hand_over.viewer_connection_id, hand_over.play, CAUSE_FAILED, 0.0);
+    }
+}
+
 impl Node {
     /// Handles the hand-over of a session that the node does not know: adopts the session if its server is
-    /// listed, otherwise keeps the hand-over. Returns false if the connection is to be closed.
-    pub(crate) fn handle_hand_over(&mut self, mut hand_over: HandOver) -> bool {
+    /// listed, otherwise keeps the hand-over.
+    pub(crate) fn handle_hand_over(&mut self, mut hand_over: HandOver) {
         // The viewer keeps the connection while the session plays, to be notified of its end.
         self.mark_identified(hand_over.viewer_connection_id);
         // Only a set-up that is sent to a server needs its description.
@@ -88,8 +97,8 @@
         }
     }
 
-    /// Keeps a hand-over until a list names its server. Returns false if the connection is to be closed.
-    fn keep_unlisted(&mut self, hand_over: HandOver) -> bool {
+    /// Keeps a hand-over until a list names its server.
+    fn keep_unlisted(&mut self, hand_over: HandOver) {
         let report = self.state.ended_sessions.report(self.state.now(), hand_over.play);
         // If the viewer has ended the session, its server is still to be told.
         let is_settled = match report {
@@ -97,30 +106,22 @@
             Some(EndReport::Server(_) | EndReport::Both) => self.settle_reported_end(&hand_over, None),
         };
         if is_settled {
-            return true;
+            return;
         }
         if !self.state.unlisted_hand_overs.has_room(hand_over.viewer_connection_id) {
-            return self.refuse_hand_over(&hand_over);
+            return self.state.refuse_hand_over(&hand_over);
         }
         self.state.unlisted_hand_overs.insert(hand_over);
-        true
     }
 
-    /// Refuses a hand-over that is over a limit. Returns false if the connection is to be closed.
-    fn refuse_hand_over(&mut self, hand_over: &HandOver) -> bool {
-        self.state.stats.flooded += 1;
-        self.reject_set_up(hand_over.viewer_connection_id, hand_over.play, CAUSE_FAILED, 0.0)
-    }
-
-    /// Adopts a session at a listed server, unless the session's end was reported before. Returns false if the
-    /// viewer's connection is to be closed.
-    fn adopt_session(&mut self, hand_over: HandOver, server_number: u32) -> bool {
+    /// Adopts a session at a listed server, unless the session's end was reported before.
+    fn adopt_session(&mut self, hand_over: HandOver, server_number: u32) {
         if self.settle_reported_end(&hand_over, Some(server_number)) {
-            return true;
+            return;
         }
         if self.state.sessions.len() >= MAX_SESSIONS {
             self.state.tear_down_on_server(server_number, None, hand_over.play, CAUSE_WITHDRAWN);
-            return self.refuse_hand_over(&hand_over);
+            return self.state.refuse_hand_over(&hand_over);
         }
         let HandOver { play, viewer_connection_id, viewer_ip, set_up, .. } = hand_over;
         let now = self.state.now();
@@ -138,7 +139,6 @@
         self.dispatcher.adopt(now, play, &request, server_number, &mut self.state);
         // A server without a connection to this node cannot report anything about the session.
         let _ = self.state.connection_to(server_number, false);
-        true
     }
 
     /// Passes an end of the session that was reported before its hand-over on to the side that does not know
@@ -164,10 +164,7 @@
     pub(crate) fn adopt_listed_hand_overs(&mut self) {
         let server_numbers = &self.state.server_numbers;
         for hand_over in self.state.unlisted_hand_overs.take(|h| server_numbers.contains_key(&h.server_id)) {
-            let connection_id = hand_over.viewer_connection_id;
-            if !self.handle_hand_over(hand_over) {
-                self.close_viewer_connection(connection_id);
-            }
+            self.handle_hand_over(hand_over);
         }
     }
 
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -327,13 +327,8 @@
         let viewer_ip = connection.peer_ip();
         if let Some(server_id) = current_server_id {
             let viewer_connection_id = connection_id;
-            return self.handle_hand_over(HandOver {
-                play,
-                viewer_connection_id,
-                viewer_ip,
-                server_id,
-                set_up,
-            });
+            self.handle_hand_over(HandOver { play, viewer_connection_id, viewer_ip, server_id, set_up });
+            return true;
         }
         self.state.stats.asked += 1;
         let Role::Viewer(viewer) = &mut connection.role else { return true };
@@ -356,13 +351,7 @@
 
     /// Rejects a set-up that never became a play, because it is unusable or over a limit. Returns false if
     /// the connection is to be closed, because more than `MAX_REJECTED_SET_UPS` were rejected on it.
-    pub(crate) fn reject_set_up(
-        &mut self,
-        connection_id: ConnectionId,
-        play: u64,
-        cause: u8,
-        retry_after: f64,
-    ) -> bool {
+    fn reject_set_up(&mut self, connection_id: ConnectionId, play: u64, cause: u8, retry_after: f64) -> bool {
         self.state.write_final_message(connection_id, play, cause, retry_after);
         let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
         viewer.rejected_set_ups += 1;
