Tests of many fronts read each response from when its request is sent

A response that comes during the sending would still be recorded late.

Change: send_play_requests_from hands each request on as soon as it is sent; run_plays reads it from there. Test code alone.

--- a/crates/edge/tests/sharing/mod.rs
+++ b/crates/edge/tests/sharing/mod.rs
@@ -76,28 +76,26 @@
     fronts: &[usize],
     count: usize,
 ) -> Vec<PendingRequest> {
-    send_play_requests_from(fleet, session_prefix, 0, fronts, count).await
+    send_play_requests_from(fleet, session_prefix, 0, fronts, count, |request| request).await
 }
 
-/// Like [`send_play_requests`], beginning with the given title.
-async fn send_play_requests_from(
+/// Like [`send_play_requests`], beginning with the given title; `on_sent` takes each request as soon as it is sent.
+async fn send_play_requests_from<T>(
     fleet: &TestFleet,
     session_prefix: &str,
     title: usize,
     fronts: &[usize],
     count: usize,
-) -> Vec<PendingRequest> {
-    let mut requests = Vec::new();
+    on_sent: impl Fn(PendingRequest) -> T,
+) -> Vec<T> {
+    let mut sent = Vec::new();
     for n in 0..count {
         for front in fronts {
-            requests.push(
-                fleet
-                    .send_title_request(*front, &format!("{session_prefix}-{front}-{n}"), (title + n) % 8)
-                    .await,
-            );
+            let session = format!("{session_prefix}-{front}-{n}");
+            sent.push(on_sent(fleet.send_title_request(*front, &session, (title + n) % 8).await));
         }
     }
-    requests
+    sent
 }
 
 /// Sends requests like [`send_play_requests`] and waits for all responses.
@@ -113,9 +111,8 @@
     fronts: &[usize],
     count: usize,
 ) {
-    let requests = send_play_requests_from(fleet, session_prefix, title, fronts, count).await;
-    let responses: Vec<_> = requests.into_iter().map(PendingRequest::read_in_background).collect();
-    for response in responses {
+    let read = PendingRequest::read_in_background;
+    for response in send_play_requests_from(fleet, session_prefix, title, fronts, count, read).await {
         response.await.expect("the player task succeeds");
     }
 }
