--- a/crates/edge/tests/fake_peers/mod.rs
+++ b/crates/edge/tests/fake_peers/mod.rs
@@ -12,7 +12,7 @@
 pub use process::Node;
 pub use servers::{MediaServer, Request, ServerConnection, rtsp_response};
 use std::time::Duration;
-pub use viewers::{Message, Viewer, encode_message, set_up_message};
+pub use viewers::{Message, Viewer, encode_message, hand_over_message, set_up_message};
 
 /// Time after which a blocking call fails the test.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/edge/tests/fake_peers/viewers.rs
+++ b/crates/edge/tests/fake_peers/viewers.rs
@@ -69,6 +69,11 @@
     encode_message(1, session, &encoded)
 }
 
+/// Encodes the hand-over of a session that plays at the server with this id.
+pub fn hand_over_message(session: u64, server_id: &str) -> Vec<u8> {
+    set_up_message(session, &[(18, &format!("home:0;copies:1;top:1;at:{server_id}")), (6, "0")])
+}
+
 impl Viewer {
     /// Sends the node these bytes.
     pub fn send(&mut self, bytes: &[u8]) {
--- a/crates/edge/tests/node_hand_overs.rs
+++ b/crates/edge/tests/node_hand_overs.rs
@@ -3,7 +3,9 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, Viewer, set_up_message};
+use fake_peers::{
+    DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, Viewer, hand_over_message, set_up_message,
+};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, start_fixture};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -17,11 +19,6 @@
 const MAX_UNLISTED: u64 = 2_048;
 const MAX_SESSIONS: u64 = 8_192;
 
-/// Encodes the hand-over of a session that plays at the server with this id.
-fn hand_over_message(session: u64, server_id: &str) -> Vec<u8> {
-    set_up_message(session, &[(18, &format!("home:0;copies:1;top:1;at:{server_id}")), (6, "0")])
-}
-
 /// Hands sessions over, each at a server of its own that no list names.
 fn hand_over_unlisted(viewer: &mut Viewer, sessions: std::ops::Range<u64>) {
     let bytes: Vec<u8> = sessions.flat_map(|s| hand_over_message(s, &format!("s-{s:08x}"))).collect();
--- a/crates/edge/tests/node_lifecycle.rs
+++ b/crates/edge/tests/node_lifecycle.rs
@@ -4,7 +4,8 @@
 mod node_fixture;
 
 use fake_peers::{
-    DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, ServerRecord, encode_message, set_up_message,
+    DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, ServerRecord, encode_message, hand_over_message,
+    set_up_message,
 };
 use node_fixture::{
     ANSWER, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements, wait_for_contact,
@@ -233,7 +234,7 @@
 fn connection_that_handed_over_a_session_is_not_closed_as_idle() {
     let fixture = start_fixture();
     let mut viewer = fixture.node.connect_viewer();
-    viewer.send(&set_up_message(41, &[(18, "home:0;copies:1;top:1;at:s-0000000a"), (6, "0")]));
+    viewer.send(&hand_over_message(41, "s-0000000a"));
     let mut connection = fixture.servers[0].accept();
     // A connection that never sends a message is closed after 2.4 s. By then the viewer's has been idle for longer.
     let mut silent = fixture.node.connect_viewer();
--- a/crates/edge/tests/node_races_sessions.rs
+++ b/crates/edge/tests/node_races_sessions.rs
@@ -5,30 +5,32 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DnsServer, MediaServer, Node, ServerConnection, Viewer, encode_message, set_up_message};
+use fake_peers::{
+    DnsServer, MediaServer, Node, ServerConnection, Viewer, encode_message, hand_over_message, set_up_message,
+};
 use node_fixture::{NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_full_backlog};
 use std::io::Write;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-/// Set-up parameter: the session is handed over and is at the first server.
-const HANDED_OVER_AT_FIRST: (u8, &str) = (18, "home:0;copies:1;top:1;at:s-0000000a");
+/// The id of the first server, at which the sessions that are handed over play.
+const FIRST_SERVER: &str = "s-0000000a";
 
 /// On its first connection the server reports the end of a session whose hand-over has not arrived yet.
 #[test]
 fn session_handed_over_after_its_servers_teardown_is_released() {
     let fixture = start_fixture();
     let mut viewer = fixture.node.connect_viewer();
-    viewer.send(&set_up_message(120, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    viewer.send(&hand_over_message(120, FIRST_SERVER));
     let mut connection = fixture.servers[0].accept();
     connection.send_request("TEARDOWN", 121, "Reason: cause=41\r\n");
     connection.end_play(&mut viewer, 120);
-    viewer.send(&set_up_message(121, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    viewer.send(&hand_over_message(121, FIRST_SERVER));
     assert_eq!(viewer.expect_message(RELEASE, 121).cause(), 41);
     // A hand-over that is repeated after the end notice doesn't revive the session.
-    viewer.send(&set_up_message(121, &[HANDED_OVER_AT_FIRST, (6, "0")]));
-    viewer.send(&set_up_message(120, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    viewer.send(&hand_over_message(121, FIRST_SERVER));
+    viewer.send(&hand_over_message(120, FIRST_SERVER));
     viewer.expect_no_message();
     fixture.node.wait_for_log("sessions=0");
 }
@@ -38,12 +40,12 @@
 fn unread_input_survives_an_end_notice_on_the_same_connection() {
     let fixture = start_fixture();
     let mut viewer = fixture.node.connect_viewer();
-    viewer.send(&set_up_message(125, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    viewer.send(&hand_over_message(125, FIRST_SERVER));
     let mut connection = fixture.servers[0].accept();
     connection.send_request("TEARDOWN", 126, "Reason: cause=41\r\n");
     connection.end_play(&mut viewer, 125);
     fixture.node.while_paused(|| {
-        let mut bytes = set_up_message(126, &[HANDED_OVER_AT_FIRST, (6, "0")]);
+        let mut bytes = hand_over_message(126, FIRST_SERVER);
         // Progress messages, which are ignored, and then a health check.
         (0..6_000).for_each(|_| bytes.extend(encode_message(6, 126, &[])));
         bytes.extend(encode_message(52, 127, &[(45, &[0])]));
@@ -61,7 +63,7 @@
     viewer.send(&encode_message(RELEASE, 122, &[(45, &[19])]));
     viewer.expect_no_message();
     let mut other_viewer = fixture.node.connect_viewer();
-    other_viewer.send(&set_up_message(122, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    other_viewer.send(&hand_over_message(122, FIRST_SERVER));
     let teardown = fixture.servers[0].accept().expect_request("TEARDOWN");
     assert_eq!((teardown.session(), teardown.header("Reason")), (122, Some("cause=19")));
 }
@@ -71,7 +73,7 @@
 fn teardown_is_retried_on_the_next_connection() {
     let mut fixture = start_with_full_backlog(&[]);
     let mut viewer = fixture.node.connect_viewer();
-    let mut hand_over_and_release = set_up_message(123, &[HANDED_OVER_AT_FIRST, (6, "0")]);
+    let mut hand_over_and_release = hand_over_message(123, FIRST_SERVER);
     hand_over_and_release.extend(encode_message(RELEASE, 123, &[(45, &[19])]));
     viewer.send(&hand_over_and_release);
     // At least 0.6 s: the first attempt to connect has timed out by then, after 0.25 s.
@@ -92,7 +94,7 @@
     dns.update_zone(|zone| (zone.serial, zone.mode) = (2, fake_peers::DnsMode::Silent));
     let node = Node::start(&Node::config(dns.addr, &[&servers[1]], 256, 3_000_000));
     let mut viewer = node.connect_viewer();
-    viewer.send(&set_up_message(124, &[HANDED_OVER_AT_FIRST, (6, "0")]));
+    viewer.send(&hand_over_message(124, FIRST_SERVER));
     viewer.expect_no_message();
     // At least 1.05 s: more than two ticks of the server check, which are 0.5 s apart.
     dns.wait_for_queries(8);
--- a/crates/edge/tests/node_races_shutdown.rs
+++ b/crates/edge/tests/node_races_shutdown.rs
@@ -4,7 +4,9 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, encode_message, set_up_message};
+use fake_peers::{
+    DESCRIPTION, DnsMode, DnsServer, MediaServer, Node, encode_message, hand_over_message, set_up_message,
+};
 use node_fixture::{ANSWER, TITLE_AT_FIRST, start_fixture, start_with_replacements, start_with_servers};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -73,8 +75,7 @@
         &[long_dial_timeout],
     );
     let mut viewer = fixture.node.connect_viewer();
-    let mut hand_over_and_release =
-        set_up_message(204, &[(18, "home:0;copies:1;top:1;at:s-0000000a"), (6, "0")]);
+    let mut hand_over_and_release = hand_over_message(204, "s-0000000a");
     hand_over_and_release.extend(encode_message(node_fixture::RELEASE, 204, &[(45, &[19])]));
     viewer.send(&hand_over_and_release);
     viewer.expect_no_message();
--- a/crates/edge/tests/node_slow_peers.rs
+++ b/crates/edge/tests/node_slow_peers.rs
@@ -4,7 +4,9 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, DnsMode, Node, encode_message, rtsp_response, set_up_message};
+use fake_peers::{
+    DESCRIPTION, DnsMode, Node, encode_message, hand_over_message, rtsp_response, set_up_message,
+};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements};
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
@@ -191,7 +193,7 @@
     let node = restart_node(&fixture);
     let mut viewer = node.connect_viewer();
     viewer.expect_no_message();
-    viewer.send(&set_up_message(310, &[(18, "home:0;copies:1;top:1;at:s-0000000a"), (6, "0")]));
+    viewer.send(&hand_over_message(310, "s-0000000a"));
     let mut new_connection = fixture.servers[0].accept();
     new_connection.end_play(&mut viewer, 310);
     viewer.send(&set_up_message(311, &[TITLE_AT_FIRST]));
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -17,6 +17,7 @@
 const MAX_NAMES: usize = 4_096;
 /// Maximum number of responses that are read in a turn.
 const MAX_RESPONSES_PER_TURN: usize = 8;
+
 impl NodeState {
     /// The number of a server that a list names. A new id gets a new number and an entry in `servers`.
     fn number_listed_server(&mut self, entry: &ServerEntry, listing: Listing) -> u32 {
