Silent servers are lost 7.25 s after they were last heard, however far apart notes are

Cause: check_silent_servers (lost_servers.rs) took the longer of the time that the viewers' deadline leaves (5.75 s) and the time after which a note is overdue (note_timeout, 1.25 intervals and 1 s: 7.125 s), and then waited for a check, a dial that times out, a second check and a second dial.

Evidence: log of the latest node (--level info,server=debug): first dial at silent=7537, second at silent=8037, "server lost" 250 ms later. Ruled out: a late loop (checks 500 ms apart), slow notices (read less than 1 ms after "server lost"), dials over their time-out (250 ms).

Change: liveness.rs, free of I/O, has one time after which sessions end, 7.25 s, which neither the note interval nor the dial time-out moves. Dials that time out prove nothing any more; they are repeated, every 0.25 s or beside a pending one every 0.5 s, so that a server that was cut off is heard again. note_timeout is capped too (servers listed as gone, hand-overs at unlisted servers). The silence of a server counts from its first session. Checks every 100 ms.

Why it works: the last sign of life is no later than the end, so the notice leaves at most 7.25 s and one check after the end.

Tests: crates/edge/tests/node_silent_servers.rs, node_hand_overs.rs (10 s between notes) and liveness/tests.rs.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -350,6 +350,12 @@
     }
 
     /// The connection with this id, or `None` if the owner has closed it.
+    pub fn get(&self, id: ConnectionId) -> Option<&Connection<R, O>> {
+        let (generation, connection) = self.connections.get(id as u32 as usize)?;
+        (*generation == (id >> 32) as u32).then_some(connection)
+    }
+
+    /// The connection with this id, to be changed, or `None` if the owner has closed it.
     pub fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection<R, O>> {
         let (generation, connection) = self.connections.get_mut(id as u32 as usize)?;
         (*generation == (id >> 32) as u32).then_some(connection)
--- a/crates/edge/tests/fake_peers/servers.rs
+++ b/crates/edge/tests/fake_peers/servers.rs
@@ -1,7 +1,6 @@
 //! Media servers, which speak RTSP with the node.
 
 use super::*;
-use socket2::{Domain, Socket, Type};
 use std::cell::RefCell;
 use std::io::{BufRead, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -94,25 +93,20 @@
 
     /// Starts a server whose listen queue is full: connections complete only after [`MediaServer::drain_backlog`].
     pub fn start_with_full_backlog(id: &str, cell: usize) -> MediaServer {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
-        socket.listen(0).expect("listening");
-        let listener = TcpListener::from(socket);
-        let addr = listener.local_addr().expect("the address of the listener");
+        let mut server = MediaServer::start(id, cell);
+        server.fill_backlog();
+        server
+    }
+
+    /// Fills the listen queue. From now on connections are not established, as if the machine could not be reached, until
+    /// [`MediaServer::drain_backlog`].
+    pub fn fill_backlog(&mut self) {
+        let listener = self.listener.as_ref().expect("the server listens");
+        socket2::SockRef::from(listener).listen(0).expect("a shorter listen queue");
         // Connects until a connection has to wait.
-        let mut backlog = Vec::new();
         let connect_timeout = Duration::from_millis(100);
-        while let Ok(stream) = TcpStream::connect_timeout(&addr, connect_timeout) {
-            backlog.push(stream);
-        }
-        listener.set_nonblocking(true).expect("making the socket non-blocking");
-        MediaServer {
-            id: id.into(),
-            listener: Some(listener),
-            accepted: RefCell::new(None),
-            addr,
-            cell,
-            backlog,
+        while let Ok(stream) = TcpStream::connect_timeout(&self.addr, connect_timeout) {
+            self.backlog.push(stream);
         }
     }
 
--- a/crates/edge/tests/node_bad_peers.rs
+++ b/crates/edge/tests/node_bad_peers.rs
@@ -8,7 +8,8 @@
     rtsp_response, set_up_message,
 };
 use node_fixture::{
-    ANSWER, NodeFixture, RELEASE, SET_UP, TITLE_AT_FIRST, start_fixture, start_with_sockets, wait_for_contact,
+    ANSWER, NodeFixture, RELEASE, SET_UP, TITLE_AT_FIRST, start_fixture, start_session_at,
+    start_with_sockets, start_with_twelve_servers, wait_for_contact,
 };
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -181,17 +182,6 @@
 
 // ---- size ----
 
-/// Starts twelve servers, each of which holds titles of its own, and a node with 64 sockets, which may have ten connections
-/// to servers.
-fn start_with_twelve_servers() -> (Vec<MediaServer>, DnsServer, Node) {
-    let servers: Vec<MediaServer> =
-        (0..12).map(|cell| MediaServer::start(&format!("s-{cell:08x}"), cell)).collect();
-    let dns = DnsServer::start(servers.iter().map(MediaServer::dns_record).collect());
-    let config = Node::config(dns.addr, &servers.iter().collect::<Vec<_>>(), 64, 3_000_000);
-    let node = Node::start(&config.replace(r#""places":2"#, r#""places":12"#));
-    (servers, dns, node)
-}
-
 /// With 64 sockets a node may have ten connections to servers; each title is held by one of twelve servers.
 #[test]
 fn server_connections_unused_for_longest_are_evicted_at_the_limit() {
@@ -200,9 +190,7 @@
     let mut connections: Vec<ServerConnection> = Vec::new();
     for (cell, server) in servers.iter().enumerate() {
         let play = 500 + cell as u64;
-        viewer.send(&set_up_message(play, &[(18, &format!("home:{cell};copies:1;top:1"))]));
-        let mut connection = server.accept();
-        connection.serve_set_up(&mut viewer, play);
+        let mut connection = start_session_at(server, &mut viewer, play);
         // The session at the first server goes on.
         if cell > 0 {
             connection.end_play(&mut viewer, play);
@@ -228,11 +216,7 @@
             // until then the server may still report ends of earlier sessions on it.
             dns.wait_for_queries(5);
         }
-        let play = 700 + cell as u64;
-        viewer.send(&set_up_message(play, &[(18, &format!("home:{cell};copies:1;top:1"))]));
-        let mut connection = server.accept();
-        connection.serve_set_up(&mut viewer, play);
-        connections.push(connection);
+        connections.push(start_session_at(server, &mut viewer, 700 + cell as u64));
     }
     // The two that were silent for longest are closed; none of the sessions has ended.
     assert!(connections[0].next_request().is_none() && connections[1].next_request().is_none());
--- a/crates/edge/tests/node_fixture/mod.rs
+++ b/crates/edge/tests/node_fixture/mod.rs
@@ -61,6 +61,25 @@
     )
 }
 
+/// Starts twelve servers, each of which holds titles of its own, and a node with 64 sockets, which may have ten connections
+/// to servers.
+pub fn start_with_twelve_servers() -> (Vec<MediaServer>, DnsServer, Node) {
+    let servers: Vec<MediaServer> =
+        (0..12).map(|cell| MediaServer::start(&format!("s-{cell:08x}"), cell)).collect();
+    let dns = DnsServer::start(servers.iter().map(MediaServer::dns_record).collect());
+    let config = Node::config(dns.addr, &servers.iter().collect::<Vec<_>>(), 64, 3_000_000);
+    let node = Node::start(&config.replace(r#""places":2"#, r#""places":12"#));
+    (servers, dns, node)
+}
+
+/// Sets a session up at the server with this cell, on a new connection of the node; returns that connection.
+pub fn start_session_at(server: &MediaServer, viewer: &mut Viewer, session: u64) -> ServerConnection {
+    viewer.send(&set_up_message(session, &[(18, &format!("home:{};copies:1;top:1", server.cell))]));
+    let mut connection = server.accept();
+    connection.serve_set_up(viewer, session);
+    connection
+}
+
 /// Set-up parameter: only the first server holds the title.
 pub const TITLE_AT_FIRST: (u8, &str) = (18, "home:0;copies:1;top:1;viewer:00000000b4d65521");
 
--- a/crates/edge/tests/node_hand_overs.rs
+++ b/crates/edge/tests/node_hand_overs.rs
@@ -27,10 +27,15 @@
 
 /// Starts a node that knows the first of two servers, beside a name service that lists both but does not respond yet.
 fn start_before_first_list() -> NodeFixture {
+    start_with_note_interval(3_000_000)
+}
+
+/// Starts a node as [`start_before_first_list`] does, with this interval between the notes of servers, µs.
+fn start_with_note_interval(interval_us: u64) -> NodeFixture {
     let servers = vec![MediaServer::start("s-0000000a", 0), MediaServer::start("s-0000000b", 1)];
     let dns = DnsServer::start(servers.iter().map(MediaServer::dns_record).collect());
     dns.update_zone(|zone| (zone.serial, zone.mode) = (2, DnsMode::Silent));
-    let node = Node::start(&Node::config(dns.addr, &[&servers[0]], 256, 3_000_000));
+    let node = Node::start(&Node::config(dns.addr, &[&servers[0]], 256, interval_us));
     NodeFixture { node, dns, servers }
 }
 
@@ -67,10 +72,12 @@
     fixture.node.wait_for_log("servers=2 owed=0 cuts=0 unlisted=0");
 }
 
-/// Guards against a session that stands for ever because no list comes that could name its server.
-#[test]
-fn hand_over_at_an_unlisted_server_ends_while_the_name_service_is_silent() {
-    let fixture = start_before_first_list();
+/// Guards against a session that stands for ever, or as long as notes may be apart, because no list comes that could name
+/// its server.
+#[test_case(3_000_000; "notes every 3 s")]
+#[test_case(10_000_000; "notes further apart than viewers may wait")]
+fn hand_over_at_an_unlisted_server_ends_while_the_name_service_is_silent(note_interval_us: u64) {
+    let fixture = start_with_note_interval(note_interval_us);
     let mut viewer = fixture.node.connect_viewer();
     let handed_over_at = Instant::now();
     viewer.send(&hand_over_message(10, "s-0000000b"));
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a node: a JSON file with the platform's settings, read at start and on SIGHUP.
 
+use crate::liveness::LOST_AFTER_MS;
 use anyhow::{Context, anyhow};
 use pulleystair::{Settings, number};
 use pulleystair_dns_discovery::InitialEvents;
@@ -79,9 +80,10 @@
 }
 
 impl NodeLimits {
-    /// The time after which the silence of a server with sessions has to have a cause, ms.
+    /// The time after which a server with sessions that should send notes is missed, ms. It leaves the time to
+    /// notify the viewers, however far apart the notes are.
     pub(crate) fn note_timeout(&self) -> f64 {
-        NOTE_INTERVALS * self.note_interval + NOTE_GRACE_MS
+        (NOTE_INTERVALS * self.note_interval + NOTE_GRACE_MS).min(LOST_AFTER_MS)
     }
 }
 
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -8,7 +8,8 @@
 //! server would count as lost for its silence.
 
 use crate::ended_sessions::EndReport;
-use crate::node::Node;
+use crate::liveness::LOST_AFTER_MS;
+use crate::node::{Node, SERVER_CHECK_INTERVAL_MS};
 use crate::set_up::{SetUpRequest, new_session};
 use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState};
 use pulleystair_connections::ConnectionId;
@@ -130,12 +131,7 @@
         (session.server_number, session.is_playing, session.phase_started_at) =
             (Some(server_number), true, now);
         self.state.sessions.insert(play, session);
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.playing_sessions += 1;
-            if server.last_heard_at == 0.0 {
-                server.last_heard_at = now;
-            }
-        }
+        self.state.add_playing_session(now, server_number);
         self.dispatcher.adopt(now, play, &request, server_number, &mut self.state);
         // A server without a connection to this node cannot report anything about the session.
         let _ = self.state.connection_to(server_number, false);
@@ -172,8 +168,9 @@
     /// has responded, the list may be older than the hand-overs, and they wait like a silent server's sessions.
     pub(crate) fn end_unlisted_hand_overs(&mut self, now: f64) {
         let may_be_listed = !self.dns_client.has_response;
-        let note_timeout = self.state.limits.note_timeout();
-        let is_due = |h: &HandOver| !may_be_listed || now - h.set_up.request.arrived_at > note_timeout;
+        // The next check may be too late.
+        let max_wait = self.state.limits.note_timeout().min(LOST_AFTER_MS - SERVER_CHECK_INTERVAL_MS);
+        let is_due = |h: &HandOver| !may_be_listed || now - h.set_up.request.arrived_at > max_wait;
         let ended = self.state.unlisted_hand_overs.take(is_due);
         if ended.is_empty() {
             return;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `attempts`: attempts at servers
 //! - `listing` and `dns_client`: the list of servers, and the client of the name service
 //! - `server_connections`: the connections to servers
+//! - `liveness`: signs of life of a server, and what follows from its silence
 //! - `lost_servers`: servers that are lost, silent, restarted or gone
 //! - `state`: the node's state beside the dispatcher
 //! - `actions`: what the node does for the dispatcher
@@ -25,6 +26,7 @@
 mod ended_sessions;
 mod hand_overs;
 mod listing;
+mod liveness;
 mod lost_servers;
 mod node;
 mod reload;
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -1,24 +1,60 @@
 //! Media servers that are lost, silent, restarted or gone, and what becomes of the sessions at them.
 
-use crate::node::{Node, SERVER_CHECK_INTERVAL_MS};
-use crate::state::{CAUSE_FAILED, NOTICE_TTL_MS, Role, Server};
+use crate::liveness::{Connectivity, DialFailure, LivenessAction};
+use crate::node::Node;
+use crate::state::{CAUSE_FAILED, NodeState, Role, Server};
 use pulleystair::Outcome;
 use pulleystair_connections::ConnectionId;
 use std::collections::HashSet;
 use tracing::{debug, info};
 
-/// The part of the time within which viewers must be notified of an end that is kept for detecting the end
-/// and for sending the notice, ms.
-const DETECTION_MARGIN_MS: f64 = 750.0;
-/// A server counts as lost after this many consecutive connections that could not be established.
-const MAX_FAILED_DIALS: u32 = 2;
+/// If more servers have sessions than there may be connections, the only connection to a server with sessions
+/// may be closed for one to a server that was silent for this long, ms.
+const MAKE_ROOM_AFTER_MS: f64 = 3_000.0;
+
+impl NodeState {
+    /// Counts a session that plays at a server from now on.
+    pub(crate) fn add_playing_session(&mut self, now: f64, server_number: u32) {
+        let Some(server) = self.servers.get_mut(&server_number) else { return };
+        if server.playing_sessions == 0 {
+            server.liveness.on_heard(now);
+        }
+        server.playing_sessions += 1;
+    }
+
+    /// Counts the end of a session that played at a server.
+    pub(crate) fn remove_playing_session(&mut self, server_number: u32) {
+        if let Some(server) = self.servers.get_mut(&server_number) {
+            server.playing_sessions = server.playing_sessions.saturating_sub(1);
+        }
+    }
+
+    /// How a server is connected to the node.
+    fn connectivity(&self, server: &Server) -> Connectivity {
+        let is_pending = |connection_id: &ConnectionId| {
+            let role = self.connections.get(*connection_id).map(|connection| &connection.role);
+            matches!(role, Some(Role::Server(connection)) if !connection.is_established)
+        };
+        if server.connections.is_empty() {
+            Connectivity::Unconnected
+        } else if server.connections.iter().any(is_pending) {
+            Connectivity::Dialling
+        } else {
+            Connectivity::Connected
+        }
+    }
+}
 
 impl Node {
     /// Handles a connection to a server that could not be established, was lost, or brought input that cannot
     /// be parsed.
     pub(crate) fn on_server_connection_lost(&mut self, connection_id: ConnectionId) {
         let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
-        let up = connection.poll_established() == Some(true);
+        let dial_failure = match connection.poll_established() {
+            Some(true) => None,
+            Some(false) => Some(DialFailure::Refused),
+            None => Some(DialFailure::TimedOut),
+        };
         let bytes_sent = connection.bytes_sent();
         let Role::Server(server_connection) = &mut connection.role else { return };
         let (server_number, lost_set_ups) =
@@ -30,26 +66,31 @@
             .get(&server_number)
             .map_or((0, 0), |s| (s.playing_sessions, s.connections.len()));
         let id = self.state.server_id(server_number);
-        debug!(target: "server", id, up, open = lost_set_ups.len(), playing, left, "connection lost");
+        debug!(target: "server", id, ?dial_failure, open = lost_set_ups.len(), playing, left, "connection lost");
         for set_up in lost_set_ups {
             // A set-up of which no byte was sent cannot have run.
-            let outcome =
-                if !up || bytes_sent <= set_up.offset { Outcome::Unreachable } else { Outcome::Broken };
+            let has_never_run = dial_failure.is_some() || bytes_sent <= set_up.offset;
+            let outcome = if has_never_run { Outcome::Unreachable } else { Outcome::Broken };
             self.on_attempt_ended(set_up.play, server_number, outcome, &[]);
         }
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.failed_dials += u32::from(!up);
-            if server.playing_sessions > 0 {
-                if server.failed_dials >= MAX_FAILED_DIALS {
-                    self.on_server_lost(server_number);
-                } else if server.connections.is_empty() {
-                    self.reconnect(server_number, false);
-                }
-            }
-        }
+        self.replace_lost_connection(server_number, dial_failure);
         self.report_ends();
     }
 
+    /// Dials a server with sessions that has lost its last connection. If it refuses connections, it is lost.
+    fn replace_lost_connection(&mut self, server_number: u32, dial_failure: Option<DialFailure>) {
+        let Some(server) = self.state.servers.get_mut(&server_number) else { return };
+        let is_lost = dial_failure.is_some_and(|failure| server.liveness.on_dial_failed(failure));
+        if server.playing_sessions == 0 {
+            return;
+        }
+        if is_lost {
+            self.on_server_lost(server_number);
+        } else if server.connections.is_empty() && server.liveness.may_redial_at_once() {
+            self.reconnect(server_number, false);
+        }
+    }
+
     /// Dials a server with sessions that has no connection or is silent, because the server may have ends to
     /// report. If there is no address to dial, the server counts as lost. `may_close_needed`: the only
     /// connection to another server with sessions may be closed for the new one.
@@ -57,7 +98,7 @@
         if self.state.servers.get(&server_number).is_some_and(|s| s.dial_address().is_none()) {
             return self.on_server_lost(server_number);
         }
-        // If no descriptor is left, the next check dials the server.
+        // If no connection is left for the server, a later check dials it.
         let _ = self.state.dial(server_number, may_close_needed);
     }
 
@@ -69,50 +110,57 @@
             self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
         }
         let Some(server) = self.state.servers.get_mut(&server_number) else { return };
-        server.failed_dials = 0;
+        server.liveness.on_lost();
         for connection_id in server.connections.clone() {
             self.on_server_connection_lost(connection_id);
         }
     }
 
-    /// Dials servers with sessions that have no connection, or were silent for `silence_limit`. That is as
-    /// late as the viewers' deadline for notices allows, so that a server that is cut off for some seconds
-    /// keeps its sessions. A server that is listed as gone cannot be dialled: it is lost at the first check at
-    /// which it has no connection, or was silent for `NodeLimits::note_timeout`.
+    /// Dials or gives up the servers with sessions that are silent, the longest silent first.
     ///
     /// If more servers have sessions than there may be connections, the servers without one are dialled in
-    /// turn, the longest silent first. After half of `silence_limit` they may close a connection to a server
-    /// with sessions. Each check can replace all connections, so with M servers and K connections a server is
-    /// heard again within half of `silence_limit` plus M / K checks.
-    pub(crate) fn check_silent_servers(&mut self, now: f64) {
-        let limits = &self.state.limits;
-        let note_timeout = limits.note_timeout();
-        let silence_limit = note_timeout.max(
-            NOTICE_TTL_MS
-                - DETECTION_MARGIN_MS
-                - f64::from(MAX_FAILED_DIALS) * (limits.dial_timeout + SERVER_CHECK_INTERVAL_MS),
-        );
-        let is_late =
-            |s: &Server| now - s.last_heard_at > if s.is_gone() { note_timeout } else { silence_limit };
-        let is_silent = |s: &Server| s.playing_sessions > 0 && (s.connections.is_empty() || is_late(s));
-        let silent_servers = self.state.servers.iter().filter(|(_, s)| is_silent(s));
-        let mut silent_servers: Vec<(f64, u32)> =
-            silent_servers.map(|(server_number, s)| (s.last_heard_at, *server_number)).collect();
-        silent_servers.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (last_heard_at, server_number) in silent_servers {
-            let connections =
-                self.state.servers.get(&server_number).map(|s| s.connections.clone()).unwrap_or_default();
-            let may_close_needed = connections.is_empty() && now - last_heard_at > silence_limit / 2.0;
-            if !connections.into_iter().any(|connection_id| {
-                self.state
-                    .server_connection(connection_id)
-                    .is_some_and(|server_connection| !server_connection.is_established)
-            }) {
-                self.reconnect(server_number, may_close_needed);
+    /// turn. After [`MAKE_ROOM_AFTER_MS`] they may close a connection to a server with sessions that has had
+    /// its time. With M servers and K connections, a server is thus heard again within `MAKE_ROOM_AFTER_MS`
+    /// plus M / K times half a second, if that is less than the time after which it counts as lost.
+    pub(crate) fn check_liveness(&mut self, now: f64) {
+        let mut due: Vec<(f64, u32, LivenessAction)> = self
+            .state
+            .servers
+            .iter()
+            .filter(|(_, server)| server.playing_sessions > 0)
+            .map(|(number, server)| {
+                (server.liveness.silence(now), *number, self.liveness_action(now, server))
+            })
+            .filter(|(_, _, action)| *action != LivenessAction::Wait)
+            .collect();
+        due.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (silence, server_number, action) in due {
+            match action {
+                LivenessAction::Wait => {}
+                LivenessAction::Dial => {
+                    let is_unconnected =
+                        self.state.servers.get(&server_number).is_some_and(|s| s.connections.is_empty());
+                    self.reconnect(server_number, is_unconnected && silence > MAKE_ROOM_AFTER_MS);
+                }
+                LivenessAction::EndAllSessions => self.on_server_lost(server_number),
             }
         }
     }
 
+    /// What to do about a server with sessions. One that is gone cannot be reached: it is lost once it has no
+    /// connection, or no note has come in time.
+    fn liveness_action(&self, now: f64, server: &Server) -> LivenessAction {
+        let connectivity = self.state.connectivity(server);
+        if !server.is_gone() {
+            return server.liveness.next_action(now, connectivity);
+        }
+        let is_silent = server.liveness.silence(now) > self.state.limits.note_timeout();
+        if connectivity != Connectivity::Unconnected && !is_silent {
+            return LivenessAction::Wait;
+        }
+        LivenessAction::EndAllSessions
+    }
+
     /// Handles the restart of a server: sessions and connections that are older than the start are lost.
     pub(crate) fn on_server_restarted(&mut self, server_number: u32, started_at: f64) {
         for play in self.state.plays_playing_on(server_number) {
@@ -123,11 +171,7 @@
         for connection_id in
             self.state.servers.get(&server_number).map(|s| s.connections.clone()).unwrap_or_default()
         {
-            if self
-                .state
-                .server_connection(connection_id)
-                .is_some_and(|server_connection| server_connection.dialled_at < started_at)
-            {
+            if self.state.server_connection(connection_id).is_some_and(|c| c.dialled_at < started_at) {
                 self.on_server_connection_lost(connection_id);
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,9 @@
 
 /// Connections that may wait in the kernel to be accepted.
 const BACKLOG: i32 = 1_024;
-/// Intervals at which silent servers are checked and the counters are logged, ms.
+/// Interval at which it is checked whether servers are silent, ms.
+const LIVENESS_CHECK_INTERVAL_MS: f64 = 100.0;
+/// Intervals at which what waits for a server is checked, and the counters are logged, ms.
 pub(crate) const SERVER_CHECK_INTERVAL_MS: f64 = 500.0;
 const STATS_INTERVAL_MS: f64 = 5_000.0;
 /// A node: the dispatcher, the state that its actions change, and the client of the name service.
@@ -74,6 +76,7 @@
     })?;
     node.query_list();
     let now = node.state.now();
+    node.state.schedule(now + LIVENESS_CHECK_INTERVAL_MS, Timer::CheckLiveness);
     node.state.schedule(now + SERVER_CHECK_INTERVAL_MS, Timer::CheckServers);
     node.state.schedule(now + STATS_INTERVAL_MS, Timer::LogStats);
     info!(target: "node", name = node.state.config.name, at = %address, servers = node.state.servers.len(), shares = ?node.state.shares, "listens");
@@ -127,8 +130,11 @@
                 Timer::AttemptDeadline(play, number) => self.on_attempt_deadline(play, number),
                 Timer::ConnectionDeadline(connection_id) => self.on_connection_deadline(now, connection_id),
                 Timer::QueryList => self.query_list_if_due(now),
+                Timer::CheckLiveness => {
+                    self.check_liveness(now);
+                    self.state.schedule(now + LIVENESS_CHECK_INTERVAL_MS, Timer::CheckLiveness);
+                }
                 Timer::CheckServers => {
-                    self.check_silent_servers(now);
                     self.end_unlisted_hand_overs(now);
                     self.state.retry_pending_teardowns(now);
                     if enabled!(target: "belief", tracing::Level::DEBUG) {
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -1,10 +1,13 @@
 //! The connections to media servers: which of them to use, and when to open and to close one.
 
-use crate::node::SERVER_CHECK_INTERVAL_MS;
 use crate::state::{MAX_NOTICES, NodeState, Role, ServerConnection, Timer};
 use pulleystair_connections::ConnectionId;
 use tracing::debug;
 
+/// A connection to a server with sessions is kept for at least this long, ms: the server may have ends to
+/// report on it.
+const MIN_CONNECTION_TIME_MS: f64 = 500.0;
+
 impl NodeState {
     /// The id of a server, for the log.
     pub(crate) fn server_id(&self, server_number: u32) -> &str {
@@ -14,7 +17,10 @@
     /// Opens a connection to a listed server. At the limit of connections, another one is closed for it (see
     /// `close_idle_connection`). Returns `None` if no connection can be opened.
     pub(crate) fn dial(&mut self, server_number: u32, may_close_needed: bool) -> Option<ConnectionId> {
-        let address = self.servers.get(&server_number)?.dial_address()?;
+        let now = self.now();
+        let server = self.servers.get_mut(&server_number)?;
+        let address = server.dial_address()?;
+        server.liveness.on_dialled(now);
         if self.is_at_connection_limit() && !self.close_idle_connection(may_close_needed) {
             return None;
         }
@@ -22,12 +28,11 @@
         let stream = pulleystair_connections::connect(address)
             .inspect_err(|e| debug!(target: "server", id = server.id, "cannot open a connection: {e}"))
             .ok()?;
-        let now = self.now();
         let server_connection = ServerConnection::new(server_number, now);
         let connection_id = self.connections.open(stream, None, Role::Server(server_connection)).ok()?;
         let server = self.servers.get_mut(&server_number)?;
         server.connections.push(connection_id);
-        debug!(target: "server", server = server.id, lines = server.connections.len(), playing = server.playing_sessions, silent = now - server.last_heard_at, "opening a connection");
+        debug!(target: "server", server = server.id, lines = server.connections.len(), playing = server.playing_sessions, silent = server.liveness.silence(now), "opening a connection");
         let dial_deadline = now + self.limits.dial_timeout;
         if let Some(connection) = self.connections.get_mut(connection_id) {
             connection.deadline = dial_deadline;
@@ -58,7 +63,7 @@
                 let may_close = !is_needed
                     || may_close_needed
                         && server_connection.is_established
-                        && now - server_connection.dialled_at >= SERVER_CHECK_INTERVAL_MS;
+                        && now - server_connection.dialled_at >= MIN_CONNECTION_TIME_MS;
                 if may_close && !has_pending_output && server_connection.pending_set_ups.is_empty() {
                     idle.push((is_needed, server_connection.last_heard_at, *connection_id));
                 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -62,7 +62,7 @@
                 (server_connection.last_heard_at, server_connection.last_active_at) = (now, now);
                 connection.deadline = f64::INFINITY;
                 if let Some(server) = self.state.servers.get_mut(&server_number) {
-                    (server.last_heard_at, server.failed_dials) = (now, 0);
+                    server.liveness.on_heard(now);
                 }
             }
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
@@ -285,9 +285,7 @@
         self.state.stats.played += 1;
         self.state.mark_set_up_answered(viewer_connection_id, play);
         self.state.write_to_viewer(viewer_connection_id, &bytes);
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.playing_sessions += 1;
-        }
+        self.state.add_playing_session(now, server_number);
         self.dispatcher.on_playing(now, play, &mut self.state);
         self.dispatcher.on_load_report(now, server_number, load, &mut self.state);
         self.state.send_rung(play);
@@ -306,9 +304,7 @@
         let now = self.state.now();
         let Some(session) = self.state.sessions.remove(&play) else { return };
         self.state.ended_sessions.record(now, play, EndReport::Both);
-        if let Some(server) = self.state.servers.get_mut(&server_number) {
-            server.playing_sessions = server.playing_sessions.saturating_sub(1);
-        }
+        self.state.remove_playing_session(server_number);
         if outcome == Outcome::Finished {
             self.state.stats.ended += 1;
         } else if outcome == Outcome::Broken {
@@ -330,9 +326,7 @@
         let Some(session) = self.state.sessions.remove(&play) else { return };
         self.state.ended_sessions.record(now, play, EndReport::Both);
         if let Some(server_number) = session.server_number {
-            if let Some(server) = self.state.servers.get_mut(&server_number) {
-                server.playing_sessions = server.playing_sessions.saturating_sub(1);
-            }
+            self.state.remove_playing_session(server_number);
             self.state.unreported_ends.retain(|end| end.play != play);
             self.dispatcher.on_allocation_ended(
                 now,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,6 +5,7 @@
 use crate::config::{Config, NodeLimits};
 use crate::ended_sessions::EndedSessions;
 use crate::hand_overs::UnlistedHandOvers;
+use crate::liveness::Liveness;
 use crate::node::Node;
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
@@ -174,9 +175,7 @@
     pub(crate) connections: Vec<ConnectionId>,
     /// How many sessions play on it.
     pub(crate) playing_sessions: usize,
-    pub(crate) last_heard_at: f64,
-    /// How many connections could not be established since something last arrived from the server.
-    pub(crate) failed_dials: u32,
+    pub(crate) liveness: Liveness,
 }
 
 impl Server {
@@ -188,8 +187,7 @@
             listing,
             connections: Vec::new(),
             playing_sessions: 0,
-            last_heard_at: 0.0,
-            failed_dials: 0,
+            liveness: Liveness::default(),
         }
     }
 
@@ -215,7 +213,9 @@
     ConnectionDeadline(ConnectionId),
     /// The name service is queried.
     QueryList,
-    /// Silent servers are checked.
+    /// Servers with sessions that are silent are dialled, or lost.
+    CheckLiveness,
+    /// What waits for a server is checked: hand-overs and TEARDOWNs.
     CheckServers,
     /// The counters are logged.
     LogStats,
