A restart that no list shows is found by what the old connections answer

Cause: handle_server_connection (servers.rs) took every new connection for a sign of life of the server with all its sessions. A lost machine leaves its connections open and silent; a new one shows only that a process listens there. Only the list's start time told it from the one before.

Change: such a connection is a possible restart (liveness.rs). What arrives on an older connection or about an older session settles it, as does a list that would show the restart. Connections know when they were established. Pings are sent in no other case, as they are priced.

Why it works: only the process before can answer on a connection or note a session that is older than the new connection.

--- a/crates/edge/tests/node_silent_servers.rs
+++ b/crates/edge/tests/node_silent_servers.rs
@@ -1,10 +1,10 @@
-//! Media servers that fall silent while sessions play at them: lost or cut off for some seconds. Their viewers have
+//! Media servers that fall silent while sessions play at them: lost, cut off for some seconds, or restarted. Their viewers have
 //! to be notified of the end in time, and sessions that continue are kept.
 
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, ServerConnection, Viewer, hand_over_message, set_up_message};
+use fake_peers::{DESCRIPTION, DnsMode, ServerConnection, Viewer, hand_over_message, set_up_message};
 use node_fixture::{
     ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_session_at, start_with_replacements,
     start_with_twelve_servers,
@@ -86,18 +86,53 @@
 }
 
 /// Guards against sessions that end although their server, which was cut off, can be reached again before viewers must know.
-#[test_case(Duration::from_millis(4_000); "for 4 s")]
-#[test_case(Duration::from_millis(6_500); "for 6.5 s")]
-fn sessions_continue_after_their_server_was_cut_off(duration: Duration) {
+#[test_case(Duration::from_millis(4_000), DnsMode::Normal; "for 4 s")]
+#[test_case(Duration::from_millis(6_500), DnsMode::Normal; "for 6.5 s")]
+#[test_case(Duration::from_millis(6_500), DnsMode::Silent; "for 6.5 s while the name service is silent")]
+fn sessions_continue_after_their_server_was_cut_off(duration: Duration, dns_mode: DnsMode) {
     let (mut fixture, mut viewer, mut connection) = start_with_session();
+    fixture.dns.update_zone(|zone| zone.mode = dns_mode);
     let silent_since = Instant::now();
     fixture.servers[0].fill_backlog();
     std::thread::sleep(duration.saturating_sub(silent_since.elapsed()));
     fixture.servers[0].drain_backlog();
+    if dns_mode == DnsMode::Silent {
+        let request = connection.expect_request("OPTIONS");
+        connection.respond(&request, 200, "");
+    }
     expect_kept(&fixture, &mut viewer, silent_since);
     connection.end_play(&mut viewer, 1);
 }
 
+/// Guards against a node that takes a connection to a restarted machine for a sign that the sessions continue: while the name
+/// service is silent, nothing tells it of the restart.
+#[test]
+fn viewer_is_notified_in_time_of_a_restart_that_no_list_shows() {
+    let (mut fixture, mut viewer, connection) = start_with_session();
+    let silent_since = Instant::now();
+    fixture.servers[0].fill_backlog();
+    fixture.dns.update_zone(|zone| zone.mode = DnsMode::Silent);
+    std::thread::sleep(Duration::from_secs(5));
+    fixture.servers[0].drain_backlog();
+    let mut new_connection = fixture.servers[0].accept();
+    expect_lost(&mut viewer, 1, silent_since);
+    // If the session does exist there, it has to end.
+    assert_eq!(new_connection.expect_request("TEARDOWN").session(), 1);
+    drop(connection);
+}
+
+/// Guards against sessions that end because their server, which the list shows not to have restarted, does not respond on an
+/// old connection.
+#[test]
+fn sessions_continue_on_a_new_connection_if_the_list_shows_no_restart() {
+    let (fixture, mut viewer, connection) = start_with_session();
+    let silent_since = Instant::now();
+    let mut new_connection = fixture.servers[0].accept();
+    expect_kept(&fixture, &mut viewer, silent_since);
+    new_connection.end_play(&mut viewer, 1);
+    drop(connection);
+}
+
 /// Guards against viewers who hear too late that a server has gone, as it is waited for as long as its notes may be apart.
 #[test]
 fn viewer_is_notified_in_time_of_a_silent_server_that_is_listed_as_gone() {
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -1,10 +1,9 @@
 //! What the node does for the dispatcher: starts and withdraws attempts, changes rungs, sends probes and
 //! writes final answers.
 
-use crate::state::{Attempt, AttemptEnd, CAUSE_DECLINED, CAUSE_FAILED, CSEQ_PROBE, NodeState, Timer};
+use crate::state::{Attempt, AttemptEnd, CAUSE_DECLINED, CAUSE_FAILED, NodeState, Timer};
 use pulleystair::Outcome;
 use pulleystair_dispatcher::Actions;
-use pulleystair_rtsp as rtsp;
 
 impl Actions for NodeState {
     /// The set-up is sent at the end of the turn, after the viewer's connection was read.
@@ -46,9 +45,7 @@
     fn probe(&mut self, server_number: u32) {
         self.stats.probes += 1;
         let Some(connection_id) = self.connection_to(server_number, false) else { return };
-        let id = self.rng.rand_u64();
-        let bytes = rtsp::encode_request("OPTIONS", "load", CSEQ_PROBE, id, &[], b"");
-        self.write_to_server(connection_id, &bytes);
+        self.request_load_report(connection_id);
     }
 
     /// Answers that the play is declined. The viewer may try again after `retry_after` ms.
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -92,7 +92,7 @@
             // The connection is not established by now, or has been silent since this set-up was sent, so the
             // server may never respond on it.
             connection.is_unresponsive |=
-                !connection.is_established || connection.last_heard_at < phase_started_at;
+                !connection.is_established() || connection.last_heard_at < phase_started_at;
         }
         let unsent = self.state.abandon_attempt(play);
         let waited = self.state.now() - phase_started_at;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -52,7 +52,7 @@
 }
 
 /// The part of the settings that the node itself uses.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct NodeLimits {
     /// The names of the products, in order.
     pub products: Vec<String>,
@@ -68,6 +68,8 @@
     pub dial_timeout: f64,
     /// Interval at which a server reports the load of its link while a play runs, ms; 0 if it never does.
     pub note_interval: f64,
+    /// Whether the node may send requests to a server that are no set-ups.
+    pub may_probe: bool,
     /// The longest retry delay that viewers obey, ms; 0 if they obey none.
     pub max_retry_after: f64,
     /// The longest of the products' time limits, ms.
@@ -136,6 +138,7 @@
             rungs: count("extra.ladder_kb").max(1),
             dial_timeout: number("ceilings.dial_timeout", 250.0).max(1.0),
             note_interval: number("extra.reports_every", 0.0),
+            may_probe: number("ceilings.probes", 0.0) > 0.0,
             max_retry_after: if is_retry_after_obeyed {
                 number("ceilings.max_retry_after", 0.0)
             } else {
--- a/crates/node/src/dns_client.rs
+++ b/crates/node/src/dns_client.rs
@@ -40,6 +40,9 @@
     pub(crate) revision: Option<u32>,
     /// Whether a response was accepted since the start.
     pub(crate) has_response: bool,
+    /// When the newest of the queries was sent whose response holds the list in use, Unix ms; 0 if there is
+    /// none.
+    pub(crate) list_as_of: f64,
     /// The buffer for responses. Pages of it that no response has filled use no memory.
     buffer: Vec<u8>,
     /// How many consecutive responses were rejected.
@@ -77,6 +80,7 @@
             next_query_at: 0.0,
             revision,
             has_response,
+            list_as_of: 0.0,
             buffer: vec![0; dns::MAX_BYTES],
             consecutive_errors: 0,
         })
@@ -116,14 +120,18 @@
     }
 
     /// Takes the revision of a response's list into use. Returns whether the list is to be applied: if it is
-    /// newer than the one in use, or the first response that confirms the initial list.
-    pub(crate) fn accept(&mut self, serial: u32) -> bool {
+    /// newer than the one in use, or the first response that confirms the initial list. `sent_at`: when the
+    /// query was sent, Unix ms.
+    pub(crate) fn accept(&mut self, serial: u32, sent_at: f64) -> bool {
         self.consecutive_errors = 0;
         let is_newer = dns::is_newer(self.revision, serial);
         let is_confirmed = self.revision == Some(serial) && !self.has_response;
         if is_newer || is_confirmed {
             (self.revision, self.has_response) = (Some(serial), true);
         }
+        if self.revision == Some(serial) {
+            self.list_as_of = self.list_as_of.max(sent_at);
+        }
         is_newer || is_confirmed
     }
 }
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -70,18 +70,22 @@
             match self.dns_client.receive(now) {
                 None => return,
                 Some(Err(error)) => self.dns_client.log_rejected(&error),
-                Some(Ok(response)) => self.apply_response(&response),
+                Some(Ok(response)) => self.apply_response(now, &response),
             }
         }
     }
 
     /// Applies the list of a response if it is newer than the one in use.
-    fn apply_response(&mut self, response: &ListResponse) {
-        if self.dns_client.accept(response.serial) {
-            let ListResponse { serial, servers, delay } = response;
+    fn apply_response(&mut self, now: f64, response: &ListResponse) {
+        let ListResponse { serial, servers, delay } = response;
+        if self.dns_client.accept(*serial, now - delay) {
             info!(target: "names", serial, servers = servers.len(), delay, "new server list");
             self.apply_list(true, false, servers);
         }
+        let list_as_of = self.dns_client.list_as_of;
+        for server in self.state.servers.values_mut().filter(|server| !server.is_gone()) {
+            server.liveness.on_list(list_as_of);
+        }
     }
 
     /// Updates the servers from a list, whole or changes only, and reports it to the dispatcher. `is_cached`:
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -2,7 +2,7 @@
 
 use crate::liveness::{Connectivity, DialFailure, LivenessAction};
 use crate::node::Node;
-use crate::state::{CAUSE_FAILED, NodeState, Role, Server};
+use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState, Role, Server};
 use pulleystair::Outcome;
 use pulleystair_connections::ConnectionId;
 use std::collections::HashSet;
@@ -13,11 +13,35 @@
 const MAKE_ROOM_AFTER_MS: f64 = 3_000.0;
 
 impl NodeState {
+    /// Records that a connection to a server was established.
+    pub(crate) fn on_server_connected(&mut self, now: f64, connection_id: ConnectionId, server_number: u32) {
+        let Some(server) = self.servers.get(&server_number) else { return };
+        let has_other = server.connections.iter().any(|other| {
+            *other != connection_id
+                && self.connections.get_mut(*other).is_some_and(|connection| {
+                    !connection.has_ended
+                        && matches!(&connection.role, Role::Server(other) if other.is_established())
+                })
+        });
+        if let Some(server) = self.servers.get_mut(&server_number) {
+            server.liveness.on_connected(now, has_other, &self.limits);
+        }
+    }
+
+    /// Records that a message of a server shows that a session continues or has just ended.
+    pub(crate) fn on_session_confirmed(&mut self, server_number: u32, play: u64) {
+        let now = self.now();
+        let Some(session) = self.sessions.get(&play) else { return };
+        if let Some(server) = self.servers.get_mut(&server_number) {
+            server.liveness.on_heard(now, session.phase_started_at);
+        }
+    }
+
     /// Counts a session that plays at a server from now on.
     pub(crate) fn add_playing_session(&mut self, now: f64, server_number: u32) {
         let Some(server) = self.servers.get_mut(&server_number) else { return };
         if server.playing_sessions == 0 {
-            server.liveness.on_heard(now);
+            server.liveness.on_first_session(now);
         }
         server.playing_sessions += 1;
     }
@@ -29,11 +53,25 @@
         }
     }
 
+    /// Requests a load report on the connections to a server that were established before a time.
+    fn ping(&mut self, now: f64, server_number: u32, established_before: f64) {
+        let Some(server) = self.servers.get_mut(&server_number) else { return };
+        server.liveness.on_pinged(now);
+        debug!(target: "server", id = server.id, silent = server.liveness.silence(now), "pinging a server that may have restarted");
+        for connection_id in server.connections.clone() {
+            let Some(connection) = self.server_connection(connection_id) else { continue };
+            if connection.established_at.is_some_and(|at| at < established_before) {
+                self.stats.pings += 1;
+                self.request_load_report(connection_id);
+            }
+        }
+    }
+
     /// How a server is connected to the node.
     fn connectivity(&self, server: &Server) -> Connectivity {
         let is_pending = |connection_id: &ConnectionId| {
             let role = self.connections.get(*connection_id).map(|connection| &connection.role);
-            matches!(role, Some(Role::Server(connection)) if !connection.is_established)
+            matches!(role, Some(Role::Server(connection)) if !connection.is_established())
         };
         if server.connections.is_empty() {
             Connectivity::Unconnected
@@ -110,13 +148,13 @@
             self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
         }
         let Some(server) = self.state.servers.get_mut(&server_number) else { return };
-        server.liveness.on_lost();
+        server.liveness.on_sessions_ended();
         for connection_id in server.connections.clone() {
             self.on_server_connection_lost(connection_id);
         }
     }
 
-    /// Dials or gives up the servers with sessions that are silent, the longest silent first.
+    /// Pings, dials or gives up the servers with sessions that are silent, the longest silent first.
     ///
     /// If more servers have sessions than there may be connections, the servers without one are dialled in
     /// turn. After [`MAKE_ROOM_AFTER_MS`] they may close a connection to a server with sessions that has had
@@ -137,11 +175,17 @@
         for (silence, server_number, action) in due {
             match action {
                 LivenessAction::Wait => {}
+                LivenessAction::Ping { established_before } => {
+                    self.state.ping(now, server_number, established_before);
+                }
                 LivenessAction::Dial => {
                     let is_unconnected =
                         self.state.servers.get(&server_number).is_some_and(|s| s.connections.is_empty());
                     self.reconnect(server_number, is_unconnected && silence > MAKE_ROOM_AFTER_MS);
                 }
+                LivenessAction::EndSessionsBefore(restarted_at) => {
+                    self.end_unconfirmed_sessions(server_number, restarted_at);
+                }
                 LivenessAction::EndAllSessions => self.on_server_lost(server_number),
             }
         }
@@ -151,30 +195,43 @@
     /// connection, or no note has come in time.
     fn liveness_action(&self, now: f64, server: &Server) -> LivenessAction {
         let connectivity = self.state.connectivity(server);
+        let limits = &self.state.limits;
         if !server.is_gone() {
-            return server.liveness.next_action(now, connectivity);
+            return server.liveness.next_action(now, connectivity, self.dns_client.list_as_of, limits);
         }
-        let is_silent = server.liveness.silence(now) > self.state.limits.note_timeout();
+        let is_silent = server.liveness.silence(now) > limits.note_timeout();
         if connectivity != Connectivity::Unconnected && !is_silent {
             return LivenessAction::Wait;
         }
         LivenessAction::EndAllSessions
     }
 
+    /// Ends the sessions that began before a server may have restarted, as nothing has shown that they
+    /// continue. If they do all the same, the server has to end them too.
+    fn end_unconfirmed_sessions(&mut self, server_number: u32, restarted_at: f64) {
+        let plays = self.on_server_restarted(server_number, restarted_at);
+        info!(target: "server", server = self.state.server_id(server_number), plays = plays.len(), "server may have restarted: its sessions end");
+        for play in plays {
+            self.state.tear_down_on_server(server_number, None, play, CAUSE_WITHDRAWN);
+        }
+    }
+
     /// Handles the restart of a server: sessions and connections that are older than the start are lost.
-    pub(crate) fn on_server_restarted(&mut self, server_number: u32, started_at: f64) {
-        for play in self.state.plays_playing_on(server_number) {
-            if self.state.sessions.get(&play).is_some_and(|s| s.phase_started_at < started_at) {
-                self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
-            }
+    /// Returns the plays of those sessions.
+    pub(crate) fn on_server_restarted(&mut self, server_number: u32, started_at: f64) -> Vec<u64> {
+        let mut plays = self.state.plays_playing_on(server_number);
+        plays.retain(|play| self.state.sessions.get(play).is_some_and(|s| s.phase_started_at < started_at));
+        for play in &plays {
+            self.on_session_ended_by_server(*play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
         }
-        for connection_id in
-            self.state.servers.get(&server_number).map(|s| s.connections.clone()).unwrap_or_default()
-        {
-            if self.state.server_connection(connection_id).is_some_and(|c| c.dialled_at < started_at) {
+        let Some(server) = self.state.servers.get_mut(&server_number) else { return plays };
+        server.liveness.on_sessions_ended();
+        for connection_id in server.connections.clone() {
+            if self.state.server_connection(connection_id).is_some_and(|c| c.opened_at() < started_at) {
                 self.on_server_connection_lost(connection_id);
             }
         }
+        plays
     }
 
     /// Forgets the servers that are gone and that no session or pending attempt uses, in the dispatcher too,
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -62,7 +62,7 @@
                 let Role::Server(server_connection) = &connection.role else { continue };
                 let may_close = !is_needed
                     || may_close_needed
-                        && server_connection.is_established
+                        && server_connection.is_established()
                         && now - server_connection.dialled_at >= MIN_CONNECTION_TIME_MS;
                 if may_close && !has_pending_output && server_connection.pending_set_ups.is_empty() {
                     idle.push((is_needed, server_connection.last_heard_at, *connection_id));
@@ -113,7 +113,7 @@
         for connection_id in &connection_ids {
             if self
                 .server_connection(*connection_id)
-                .is_none_or(|server_connection| server_connection.is_established)
+                .is_none_or(|server_connection| server_connection.is_established())
                 && !self.is_peer_open(*connection_id)
             {
                 continue;
@@ -130,8 +130,11 @@
             {
                 continue;
             }
-            let candidate =
-                (!server_connection.is_established, server_connection.pending_set_ups.len(), *connection_id);
+            let candidate = (
+                !server_connection.is_established(),
+                server_connection.pending_set_ups.len(),
+                *connection_id,
+            );
             if best.is_none_or(|b| (candidate.1, candidate.0) < (b.1, b.0)) {
                 best = Some(candidate);
             }
@@ -196,7 +199,7 @@
         let now = self.now();
         let Some(connection) = self.connections.get_mut(connection_id) else { return };
         connection.queue(bytes);
-        if matches!(&connection.role, Role::Server(server_connection) if server_connection.is_established) {
+        if matches!(&connection.role, Role::Server(server_connection) if server_connection.is_established()) {
             connection.flush();
         }
         let (is_closed, bytes_sent) = (connection.has_ended, connection.bytes_sent());
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -22,6 +22,7 @@
 }
 
 /// How a play stands with the sender of a message about it.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum PlayState {
     /// The node does not know the play.
     Unknown,
@@ -48,9 +49,12 @@
             }
             let Role::Server(server_connection) = &mut connection.role else { return };
             let server_number = server_connection.server_number;
-            let has_just_connected = !std::mem::replace(&mut server_connection.is_established, true);
+            let has_just_connected = !server_connection.is_established();
+            let established_at = *server_connection.established_at.get_or_insert(now);
             if has_just_connected {
                 (server_connection.last_heard_at, server_connection.last_active_at) = (now, now);
+                connection.deadline = f64::INFINITY;
+                self.state.on_server_connected(now, connection_id, server_number);
             }
             self.recheck_unsent_set_ups(connection_id);
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
@@ -58,11 +62,10 @@
             let has_read = connection.read(MAX_INPUT_BYTES);
             let is_closed = connection.has_ended;
             let Role::Server(server_connection) = &mut connection.role else { return };
-            if has_read || has_just_connected {
+            if has_read {
                 (server_connection.last_heard_at, server_connection.last_active_at) = (now, now);
-                connection.deadline = f64::INFINITY;
                 if let Some(server) = self.state.servers.get_mut(&server_number) {
-                    server.liveness.on_heard(now);
+                    server.liveness.on_heard(now, established_at);
                 }
             }
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
@@ -208,7 +211,11 @@
     ) {
         let server_number = sender.server_number;
         let play = message.session;
-        match (method, self.play_state(sender, play)) {
+        let play_state = self.play_state(sender, play);
+        if play_state == PlayState::Playing {
+            self.state.on_session_confirmed(server_number, play);
+        }
+        match (method, play_state) {
             ("TEARDOWN", PlayState::Playing) => {
                 let cause = message.cause().unwrap_or(CAUSE_FAILED);
                 let outcome = match cause {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -85,15 +85,15 @@
     pub(crate) pending_set_ups: Vec<PendingSetUp>,
     /// TEARDOWNs that were queued on this connection and of which no byte was sent yet.
     pub(crate) unsent_teardowns: Vec<Teardown>,
-    /// Whether the connection is established.
-    pub(crate) is_established: bool,
+    /// When the connection was established, Unix ms.
+    pub(crate) established_at: Option<f64>,
     /// When something last arrived on the connection, and when something last arrived or was queued, Unix ms.
     pub(crate) last_heard_at: f64,
     pub(crate) last_active_at: f64,
     /// Whether a set-up had no response in time while the connection was silent. No further set-ups are sent
     /// on such a connection.
     pub(crate) is_unresponsive: bool,
-    /// When it was dialled, Unix ms. A server process that started later does not know this connection.
+    /// When it was dialled, Unix ms.
     pub(crate) dialled_at: f64,
 }
 
@@ -104,13 +104,24 @@
             server_number,
             pending_set_ups,
             unsent_teardowns,
-            is_established: false,
+            established_at: None,
             last_heard_at: now,
             last_active_at: now,
             is_unresponsive: false,
             dialled_at: now,
         }
     }
+
+    /// Whether the connection is established.
+    pub(crate) fn is_established(&self) -> bool {
+        self.established_at.is_some()
+    }
+
+    /// When it was established or, until then, dialled, Unix ms. A server process that started later does not
+    /// know this connection.
+    pub(crate) fn opened_at(&self) -> f64 {
+        self.established_at.unwrap_or(self.dialled_at)
+    }
 }
 
 /// A set-up on a connection: its offset among all bytes queued on the connection, and its length.
@@ -213,7 +224,7 @@
     ConnectionDeadline(ConnectionId),
     /// The name service is queried.
     QueryList,
-    /// Servers with sessions that are silent are dialled, or lost.
+    /// Servers with sessions are pinged, dialled or lost if they are silent.
     CheckLiveness,
     /// What waits for a server is checked: hand-overs and TEARDOWNs.
     CheckServers,
@@ -261,6 +272,8 @@
     pub(crate) lost: u64,
     /// Load reports that the dispatcher requested.
     pub(crate) probes: u64,
+    /// Load reports that were requested of servers that may have restarted.
+    pub(crate) pings: u64,
     /// Successful responses that arrived after their attempt was abandoned.
     pub(crate) late: u64,
     /// Connections to servers that brought input that cannot be parsed.
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -1,8 +1,8 @@
-//! What is sent to media servers: set-ups, TEARDOWNs and rungs.
+//! What is sent to media servers: set-ups, TEARDOWNs, rungs and requests for load reports.
 
 use crate::state::{
-    Attempt, CSEQ_OTHER, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState, PendingSetUp,
-    Role, Teardown,
+    Attempt, CSEQ_OTHER, CSEQ_PROBE, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState,
+    PendingSetUp, Role, Teardown,
 };
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp as rtsp;
@@ -199,4 +199,11 @@
             self.write_to_server(connection_id, &bytes);
         }
     }
+
+    /// Requests a load report from the server at the other end of a connection.
+    pub(crate) fn request_load_report(&mut self, connection_id: ConnectionId) {
+        let id = self.rng.rand_u64();
+        let bytes = rtsp::encode_request("OPTIONS", "load", CSEQ_PROBE, id, &[], b"");
+        self.write_to_server(connection_id, &bytes);
+    }
 }
