--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `server_connections`: the connections to servers
 //! - `liveness`: signs of life of a server, and what follows from its silence
 //! - `lost_servers`: servers that are lost, silent, restarted or gone
+//! - `media_server`: what is kept about each server and each connection to one
 //! - `state`: the node's state beside the dispatcher
 //! - `actions`: what the node does for the dispatcher
 //! - `to_viewers` and `to_servers`: what is sent to viewers and servers
@@ -28,6 +29,7 @@
 mod listing;
 mod liveness;
 mod lost_servers;
+mod media_server;
 mod node;
 mod reload;
 mod server_connections;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -2,8 +2,9 @@
 //! name service, which is queried about every 200 ms.
 
 use crate::dns_client::ListResponse;
+use crate::media_server::Server;
 use crate::node::Node;
-use crate::state::{AttemptEnd, NodeState, Server, Timer};
+use crate::state::{AttemptEnd, NodeState, Timer};
 use pulleystair::{Listing, Outcome, Standing};
 use pulleystair_dns_discovery::ServerEntry;
 use tracing::{info, warn};
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -1,8 +1,9 @@
 //! Media servers that are lost, silent, restarted or gone, and what becomes of the sessions at them.
 
 use crate::liveness::{Connectivity, DialFailure, LivenessAction};
+use crate::media_server::Server;
 use crate::node::Node;
-use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState, Role, Server};
+use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState, Role};
 use pulleystair::Outcome;
 use pulleystair_connections::ConnectionId;
 use std::collections::HashSet;
@@ -16,13 +17,13 @@
     /// Records that a connection to a server was established.
     pub(crate) fn on_server_connected(&mut self, now: f64, connection_id: ConnectionId, server_number: u32) {
         let Some(server) = self.servers.get(&server_number) else { return };
-        let has_other = server.connections.iter().any(|other| {
-            *other != connection_id
-                && self.connections.get_mut(*other).is_some_and(|connection| {
-                    !connection.has_ended
-                        && matches!(&connection.role, Role::Server(other) if other.is_established())
-                })
-        });
+        let is_open = |other: &ConnectionId| {
+            self.connections.get(*other).is_some_and(|connection| {
+                !connection.has_ended
+                    && matches!(&connection.role, Role::Server(server) if server.is_established())
+            })
+        };
+        let has_other = server.connections.iter().any(|other| *other != connection_id && is_open(other));
         if let Some(server) = self.servers.get_mut(&server_number) {
             server.liveness.on_connected(now, has_other, &self.limits);
         }
@@ -37,22 +38,6 @@
         }
     }
 
-    /// Counts a session that plays at a server from now on.
-    pub(crate) fn add_playing_session(&mut self, now: f64, server_number: u32) {
-        let Some(server) = self.servers.get_mut(&server_number) else { return };
-        if server.playing_sessions == 0 {
-            server.liveness.on_first_session(now);
-        }
-        server.playing_sessions += 1;
-    }
-
-    /// Counts the end of a session that played at a server.
-    pub(crate) fn remove_playing_session(&mut self, server_number: u32) {
-        if let Some(server) = self.servers.get_mut(&server_number) {
-            server.playing_sessions = server.playing_sessions.saturating_sub(1);
-        }
-    }
-
     /// Requests a load report on the connections to a server that were established before a time.
     fn ping(&mut self, now: f64, server_number: u32, established_before: f64) {
         let Some(server) = self.servers.get_mut(&server_number) else { return };
@@ -66,21 +51,6 @@
             }
         }
     }
-
-    /// How a server is connected to the node.
-    fn connectivity(&self, server: &Server) -> Connectivity {
-        let is_pending = |connection_id: &ConnectionId| {
-            let role = self.connections.get(*connection_id).map(|connection| &connection.role);
-            matches!(role, Some(Role::Server(connection)) if !connection.is_established())
-        };
-        if server.connections.is_empty() {
-            Connectivity::Unconnected
-        } else if server.connections.iter().any(is_pending) {
-            Connectivity::Dialling
-        } else {
-            Connectivity::Connected
-        }
-    }
 }
 
 impl Node {
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -1,6 +1,7 @@
 //! The connections to media servers: which of them to use, and when to open and to close one.
 
-use crate::state::{MAX_NOTICES, NodeState, Role, ServerConnection, Timer};
+use crate::media_server::ServerConnection;
+use crate::state::{MAX_NOTICES, NodeState, Role, Timer};
 use pulleystair_connections::ConnectionId;
 use tracing::debug;
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,15 +5,15 @@
 use crate::config::{Config, NodeLimits};
 use crate::ended_sessions::EndedSessions;
 use crate::hand_overs::UnlistedHandOvers;
-use crate::liveness::Liveness;
+use crate::media_server::{Server, ServerConnection, Teardown};
 use crate::node::Node;
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
-use pulleystair::{Listing, Outcome, Standing};
+use pulleystair::Outcome;
 use pulleystair_connections::ConnectionId;
 use pulleystair_connections::timers::Timers;
 use std::collections::{HashMap, VecDeque};
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -78,71 +78,6 @@
     pub(crate) queued_at: f64,
 }
 
-/// A connection to a media server.
-pub(crate) struct ServerConnection {
-    pub(crate) server_number: u32,
-    /// Set-ups on this connection that have no response yet.
-    pub(crate) pending_set_ups: Vec<PendingSetUp>,
-    /// TEARDOWNs that were queued on this connection and of which no byte was sent yet.
-    pub(crate) unsent_teardowns: Vec<Teardown>,
-    /// When the connection was established, Unix ms.
-    pub(crate) established_at: Option<f64>,
-    /// When something last arrived on the connection, and when something last arrived or was queued, Unix ms.
-    pub(crate) last_heard_at: f64,
-    pub(crate) last_active_at: f64,
-    /// Whether a set-up had no response in time while the connection was silent. No further set-ups are sent
-    /// on such a connection.
-    pub(crate) is_unresponsive: bool,
-    /// When it was dialled, Unix ms.
-    pub(crate) dialled_at: f64,
-}
-
-impl ServerConnection {
-    pub(crate) fn new(server_number: u32, now: f64) -> ServerConnection {
-        let (pending_set_ups, unsent_teardowns) = (Vec::new(), Vec::new());
-        ServerConnection {
-            server_number,
-            pending_set_ups,
-            unsent_teardowns,
-            established_at: None,
-            last_heard_at: now,
-            last_active_at: now,
-            is_unresponsive: false,
-            dialled_at: now,
-        }
-    }
-
-    /// Whether the connection is established.
-    pub(crate) fn is_established(&self) -> bool {
-        self.established_at.is_some()
-    }
-
-    /// When it was established or, until then, dialled, Unix ms. A server process that started later does not
-    /// know this connection.
-    pub(crate) fn opened_at(&self) -> f64 {
-        self.established_at.unwrap_or(self.dialled_at)
-    }
-}
-
-/// A set-up on a connection: its offset among all bytes queued on the connection, and its length.
-#[derive(Clone, Copy)]
-pub(crate) struct PendingSetUp {
-    pub(crate) play: u64,
-    pub(crate) offset: u64,
-    pub(crate) length: usize,
-}
-
-/// The TEARDOWN with which a server is told that a session at it has ended.
-pub(crate) struct Teardown {
-    pub(crate) server_number: u32,
-    pub(crate) play: u64,
-    pub(crate) cause: u8,
-    /// When the TEARDOWN was created, Unix ms.
-    pub(crate) created_at: f64,
-    /// Its offset among all bytes queued on its connection; 0 if it was not queued yet.
-    pub(crate) offset: u64,
-}
-
 /// An attempt that the dispatcher requests, numbered from 1 within its play.
 pub(crate) struct Attempt {
     pub(crate) play: u64,
@@ -178,41 +113,6 @@
     pub(crate) release_cause: u8,
 }
 
-/// A media server that a list has named.
-pub(crate) struct Server {
-    pub(crate) id: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) listing: Listing,
-    pub(crate) connections: Vec<ConnectionId>,
-    /// How many sessions play on it.
-    pub(crate) playing_sessions: usize,
-    pub(crate) liveness: Liveness,
-}
-
-impl Server {
-    /// A server that has just been listed.
-    pub(crate) fn new(id: String, address: SocketAddr, listing: Listing) -> Server {
-        Server {
-            id,
-            address,
-            listing,
-            connections: Vec::new(),
-            playing_sessions: 0,
-            liveness: Liveness::default(),
-        }
-    }
-
-    /// Whether the server is listed as gone or is missing from the list.
-    pub(crate) fn is_gone(&self) -> bool {
-        self.listing.standing == Standing::Gone
-    }
-
-    /// The address to dial; `None` if the server is gone.
-    pub(crate) fn dial_address(&self) -> Option<SocketAddr> {
-        (!self.is_gone()).then_some(self.address)
-    }
-}
-
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -1,8 +1,8 @@
 //! What is sent to media servers: set-ups, TEARDOWNs, rungs and requests for load reports.
 
+use crate::media_server::{PendingSetUp, Teardown};
 use crate::state::{
-    Attempt, CSEQ_OTHER, CSEQ_PROBE, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState,
-    PendingSetUp, Role, Teardown,
+    Attempt, CSEQ_OTHER, CSEQ_PROBE, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState, Role,
 };
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp as rtsp;
