--- a/crates/dash/src/mpd/parsing.rs
+++ b/crates/dash/src/mpd/parsing.rs
@@ -3,7 +3,7 @@
 use super::times::{parse_date, parse_duration};
 use super::{
     Live, MAX_BYTES, MAX_DURATION_MS, MAX_PERIODS, MAX_REPRESENTATIONS, MAX_SEGMENTS, MAX_TIMELINE_ENTRIES,
-    MpdError, Period, Presentation, Segments, TimelineEntry, segment_count,
+    MpdError, Period, Presentation, Segments, TimelineEntry,
 };
 use quick_xml::Reader;
 use quick_xml::events::{BytesStart, Event};
--- a/crates/rule-checker/src/rules.rs
+++ b/crates/rule-checker/src/rules.rs
@@ -17,7 +17,7 @@
 use crate::{Observation, Observed};
 use limits::{check_budget, check_cold_starts, check_rungs_and_seats};
 use run::{Allocation, FrontLifetime, ProcessLifetimes, Request, UNKNOWN_LIFETIME};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// One breach of a rule.
 #[derive(Clone, Debug, PartialEq)]
