--- a/crates/node/src/liveness/tests.rs
+++ b/crates/node/src/liveness/tests.rs
@@ -267,3 +267,23 @@
     assert!(!liveness.on_dial_failed(DialFailure::Refused));
     assert!(liveness.on_dial_failed(DialFailure::Refused));
 }
+
+/// Guards against taking what a restarted server sends on its new connection for a sign that older sessions
+/// continue.
+#[test]
+fn input_on_a_new_connection_says_nothing_of_older_sessions() {
+    let limits = NodeLimits { may_probe: true, ..NodeLimits::default() };
+    let mut liveness = Liveness::default();
+    liveness.on_first_session(START_MS);
+    let connected_at = START_MS + DIAL_AFTER_MS;
+    liveness.on_connected(connected_at, true, &limits);
+    liveness.on_pinged(connected_at);
+    liveness.on_heard(connected_at + 500.0, connected_at);
+    let lost_at = START_MS + LOST_AFTER_MS;
+    let next_action =
+        |liveness: &Liveness| liveness.next_action(lost_at, Connectivity::Connected, START_MS, &limits);
+    assert_eq!(next_action(&liveness), LivenessAction::EndSessionsBefore(connected_at));
+    // A note on an older session comes from the process before.
+    liveness.on_heard(connected_at + 600.0, START_MS);
+    assert_eq!(next_action(&liveness), LivenessAction::Wait);
+}
