A lost server's sessions end by the same function as a restarted one's

Found on reading the change again: on_server_lost and on_server_restarted both ended sessions and closed connections, the first being the second with no limit of time. end_sessions_before serves both, and the possible restart; its callers keep their log lines.

--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -118,7 +118,7 @@
         }
         self.dispatcher.update_list(now, is_whole, is_cached, &listings);
         for (server_number, started_at) in restarted {
-            self.on_server_restarted(server_number, started_at);
+            self.end_sessions_before(server_number, started_at);
         }
         self.adopt_listed_hand_overs();
         self.cancel_unsent_set_ups();
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -112,16 +112,9 @@
 
     /// Ends all sessions at a server that is lost, and closes the connections to it.
     fn on_server_lost(&mut self, server_number: u32) {
-        let plays = self.state.plays_playing_on(server_number);
-        info!(target: "server", server = self.state.server_id(server_number), plays = plays.len(), "server lost: its sessions end");
-        for play in plays {
-            self.on_session_ended_by_server(play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
-        }
-        let Some(server) = self.state.servers.get_mut(&server_number) else { return };
-        server.liveness.on_sessions_ended();
-        for connection_id in server.connections.clone() {
-            self.on_server_connection_lost(connection_id);
-        }
+        let plays = self.state.servers.get(&server_number).map_or(0, |s| s.playing_sessions);
+        info!(target: "server", server = self.state.server_id(server_number), plays, "server lost: its sessions end");
+        self.end_sessions_before(server_number, f64::INFINITY);
     }
 
     /// Pings, dials or gives up the servers with sessions that are silent, the longest silent first.
@@ -186,16 +179,16 @@
     /// Ends the sessions that began before a server may have restarted, as nothing has shown that they
     /// continue. If they do all the same, the server has to end them too.
     fn end_unconfirmed_sessions(&mut self, server_number: u32, restarted_at: f64) {
-        let plays = self.on_server_restarted(server_number, restarted_at);
+        let plays = self.end_sessions_before(server_number, restarted_at);
         info!(target: "server", server = self.state.server_id(server_number), plays = plays.len(), "server may have restarted: its sessions end");
         for play in plays {
             self.state.tear_down_on_server(server_number, None, play, CAUSE_WITHDRAWN);
         }
     }
 
-    /// Handles the restart of a server: sessions and connections that are older than the start are lost.
-    /// Returns the plays of those sessions.
-    pub(crate) fn on_server_restarted(&mut self, server_number: u32, started_at: f64) -> Vec<u64> {
+    /// Ends the sessions at a server that are older than the start of its process, and closes the connections
+    /// that are: they are lost. Returns the plays of those sessions.
+    pub(crate) fn end_sessions_before(&mut self, server_number: u32, started_at: f64) -> Vec<u64> {
         let mut plays = self.state.plays_playing_on(server_number);
         plays.retain(|play| self.state.sessions.get(play).is_some_and(|s| s.phase_started_at < started_at));
         for play in &plays {
