Liveness takes the list into account where it decides, not in a call before

on_list had to be called before each next_action for what that decides to be right, and check_liveness looked each server up twice for it. next_action does it now.

--- a/crates/node/src/liveness.rs
+++ b/crates/node/src/liveness.rs
@@ -171,13 +171,6 @@
         self.failed_dials < MAX_FAILED_DIALS
     }
 
-    /// The present list was requested at `list_as_of` and names no later start of the server.
-    pub(crate) fn on_list(&mut self, list_as_of: f64) {
-        if self.possible_restart.is_some_and(|restart| list_as_of - restart.at >= LIST_DELAY_MS) {
-            self.possible_restart = None;
-        }
-    }
-
     /// The sessions that a restart has ended are removed: all of them if the server is lost.
     pub(crate) fn on_sessions_ended(&mut self) {
         self.possible_restart = None;
@@ -185,14 +178,17 @@
     }
 
     /// What to do now about a listed server with sessions. `list_as_of` is when the present list was
-    /// requested, Unix ms.
+    /// requested, Unix ms; all starts that the list names were handled.
     pub(crate) fn next_action(
-        &self,
+        &mut self,
         now: f64,
         connectivity: Connectivity,
         list_as_of: f64,
         limits: &NodeLimits,
     ) -> LivenessAction {
+        if self.possible_restart.is_some_and(|restart| list_as_of - restart.at >= LIST_DELAY_MS) {
+            self.possible_restart = None;
+        }
         if let Some(action) = self.restart_action(now, list_as_of, limits) {
             return action;
         }
--- a/crates/node/src/liveness/tests.rs
+++ b/crates/node/src/liveness/tests.rs
@@ -116,7 +116,6 @@
     /// A check of the node. Returns whether the session ends.
     fn check(&mut self, now: f64) -> bool {
         let list_as_of = if self.outage.is_list_silent { now.min(self.began_at) } else { now };
-        self.liveness.on_list(list_as_of);
         let is_connected = self.pending_dials.is_empty();
         let connectivity = if is_connected { Connectivity::Connected } else { Connectivity::Dialling };
         match self.liveness.next_action(now, connectivity, list_as_of, &self.limits) {
@@ -281,9 +280,9 @@
     liveness.on_heard(connected_at + 500.0, connected_at);
     let lost_at = START_MS + LOST_AFTER_MS;
     let next_action =
-        |liveness: &Liveness| liveness.next_action(lost_at, Connectivity::Connected, START_MS, &limits);
-    assert_eq!(next_action(&liveness), LivenessAction::EndSessionsBefore(connected_at));
+        |liveness: &mut Liveness| liveness.next_action(lost_at, Connectivity::Connected, START_MS, &limits);
+    assert_eq!(next_action(&mut liveness), LivenessAction::EndSessionsBefore(connected_at));
     // A note on an older session comes from the process before.
     liveness.on_heard(connected_at + 600.0, START_MS);
-    assert_eq!(next_action(&liveness), LivenessAction::Wait);
+    assert_eq!(next_action(&mut liveness), LivenessAction::Wait);
 }
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -1,7 +1,6 @@
 //! Media servers that are lost, silent, restarted or gone, and what becomes of the sessions at them.
 
 use crate::liveness::{Connectivity, DialFailure, LivenessAction};
-use crate::media_server::Server;
 use crate::node::Node;
 use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState, Role};
 use pulleystair::Outcome;
@@ -126,14 +125,9 @@
     pub(crate) fn check_liveness(&mut self, now: f64) {
         let mut due: Vec<(f64, u32, LivenessAction)> = Vec::new();
         for server_number in self.state.playing_servers.clone() {
-            let Some(server) = self.state.servers.get_mut(&server_number) else { continue };
-            if !server.is_gone() {
-                server.liveness.on_list(self.dns_client.list_as_of);
-            }
-            let Some(server) = self.state.servers.get(&server_number) else { continue };
-            let action = self.liveness_action(now, server);
+            let Some((silence, action)) = self.liveness_action(now, server_number) else { continue };
             if action != LivenessAction::Wait {
-                due.push((server.liveness.silence(now), server_number, action));
+                due.push((silence, server_number, action));
             }
         }
         due.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -161,19 +155,21 @@
         }
     }
 
-    /// What to do about a server with sessions. One that is gone cannot be reached: it is lost once it has no
-    /// connection, or no note has come in time.
-    fn liveness_action(&self, now: f64, server: &Server) -> LivenessAction {
-        let connectivity = self.state.connectivity(server);
-        let limits = &self.state.limits;
-        if !server.is_gone() {
-            return server.liveness.next_action(now, connectivity, self.dns_client.list_as_of, limits);
-        }
-        let is_silent = server.liveness.silence(now) > limits.note_timeout();
-        if connectivity != Connectivity::Unconnected && !is_silent {
-            return LivenessAction::Wait;
-        }
-        LivenessAction::EndAllSessions
+    /// How long a server with sessions was silent, ms, and what to do about it. One that is gone cannot be
+    /// reached: it is lost once it has no connection, or no note has come in time.
+    fn liveness_action(&mut self, now: f64, server_number: u32) -> Option<(f64, LivenessAction)> {
+        let connectivity = self.state.connectivity(self.state.servers.get(&server_number)?);
+        let (limits, list_as_of) = (&self.state.limits, self.dns_client.list_as_of);
+        let server = self.state.servers.get_mut(&server_number)?;
+        let silence = server.liveness.silence(now);
+        let action = if !server.is_gone() {
+            server.liveness.next_action(now, connectivity, list_as_of, limits)
+        } else if connectivity == Connectivity::Unconnected || silence > limits.note_timeout() {
+            LivenessAction::EndAllSessions
+        } else {
+            LivenessAction::Wait
+        };
+        Some((silence, action))
     }
 
     /// Ends the sessions that began before a server may have restarted, as nothing has shown that they
