--- a/crates/edge/tests/node_bad_peers.rs
+++ b/crates/edge/tests/node_bad_peers.rs
@@ -185,7 +185,7 @@
 /// With 64 sockets a node may have ten connections to servers; each title is held by one of twelve servers.
 #[test]
 fn server_connections_unused_for_longest_are_evicted_at_the_limit() {
-    let (servers, _dns, node) = start_with_twelve_servers();
+    let NodeFixture { node, dns: _dns, servers } = start_with_twelve_servers();
     let mut viewer = node.connect_viewer();
     let mut connections: Vec<ServerConnection> = Vec::new();
     for (cell, server) in servers.iter().enumerate() {
@@ -207,7 +207,7 @@
 /// each server is reconnected in time to report the end of its session.
 #[test]
 fn servers_with_sessions_beyond_the_connection_limit_are_reconnected_in_turn() {
-    let (servers, dns, node) = start_with_twelve_servers();
+    let NodeFixture { node, dns, servers } = start_with_twelve_servers();
     let mut viewer = node.connect_viewer();
     let mut connections: Vec<ServerConnection> = Vec::new();
     for (cell, server) in servers.iter().enumerate() {
--- a/crates/edge/tests/node_fixture/mod.rs
+++ b/crates/edge/tests/node_fixture/mod.rs
@@ -63,18 +63,16 @@
 
 /// Starts twelve servers, each of which holds titles of its own, and a node with 64 sockets, which may have ten connections
 /// to servers.
-pub fn start_with_twelve_servers() -> (Vec<MediaServer>, DnsServer, Node) {
-    let servers: Vec<MediaServer> =
-        (0..12).map(|cell| MediaServer::start(&format!("s-{cell:08x}"), cell)).collect();
-    let dns = DnsServer::start(servers.iter().map(MediaServer::dns_record).collect());
-    let config = Node::config(dns.addr, &servers.iter().collect::<Vec<_>>(), 64, 3_000_000);
-    let node = Node::start(&config.replace(r#""places":2"#, r#""places":12"#));
-    (servers, dns, node)
+pub fn start_with_twelve_servers() -> NodeFixture {
+    let servers = (0..12).map(|cell| MediaServer::start(&format!("s-{cell:08x}"), cell)).collect();
+    start_with_servers(servers, 64, &[(r#""places":2"#, r#""places":12"#)])
 }
 
-/// Sets a session up at the server with this cell, on a new connection of the node; returns that connection.
+/// Sets a session up at a server that alone holds the title, on a new connection of the node; returns that connection. Fails
+/// where the node uses a connection that was accepted before.
 pub fn start_session_at(server: &MediaServer, viewer: &mut Viewer, session: u64) -> ServerConnection {
-    viewer.send(&set_up_message(session, &[(18, &format!("home:{};copies:1;top:1", server.cell))]));
+    let extras = format!("home:{};copies:1;top:1;viewer:00000000b4d65521", server.cell);
+    viewer.send(&set_up_message(session, &[(18, &extras)]));
     let mut connection = server.accept();
     connection.serve_set_up(viewer, session);
     connection
@@ -84,13 +82,9 @@
 pub const TITLE_AT_FIRST: (u8, &str) = (18, "home:0;copies:1;top:1;viewer:00000000b4d65521");
 
 impl NodeFixture {
-    /// Sets a session up at the first server, on a new connection of the node; returns that connection. Fails where the node uses
-    /// a connection that was accepted before.
+    /// Sets a session up at the first server; see [`start_session_at`].
     pub fn start_session(&self, viewer: &mut Viewer, session: u64) -> ServerConnection {
-        viewer.send(&set_up_message(session, &[TITLE_AT_FIRST]));
-        let mut connection = self.servers[0].accept();
-        connection.serve_set_up(viewer, session);
-        connection
+        start_session_at(&self.servers[0], viewer, session)
     }
 
     /// Waits until the node has read all that this viewer sent, and the turn of the event loop in which it did has ended: of
--- a/crates/edge/tests/node_silent_servers.rs
+++ b/crates/edge/tests/node_silent_servers.rs
@@ -160,7 +160,7 @@
 /// than the node may have connections.
 #[test]
 fn silent_server_is_lost_alone_where_servers_outnumber_connections() {
-    let (mut servers, _dns, node) = start_with_twelve_servers();
+    let NodeFixture { node, dns: _dns, mut servers } = start_with_twelve_servers();
     let mut viewer = node.connect_viewer();
     let mut connections = Vec::new();
     let mut silent_since = Instant::now();
