--- a/crates/edge/tests/node_bad_peers.rs
+++ b/crates/edge/tests/node_bad_peers.rs
@@ -146,6 +146,10 @@
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 3000000000\r\n\r\nv=0"; "three gigabytes")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: -4\r\n\r\nv=0"; "a negative length")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 3\r\n\r\nv=0\r\no=1\r\n\r\n"; "a length that does not fit")]
+// Guards against answers that are served without their end, because the rest of the body was taken for the beginning of the next message.
+#[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 6\r\n\r\nm=a 8 101"; "a length too short for a last line without its end")]
+#[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 3\r\n\r\nv=0 RTP/AVP 0 8"; "a length too short by words")]
+#[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\nContent-Length: 5\r\n\r\ns=TOUR"; "a length too short by a capital letter")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000018\r\n\r\n"; "no length")]
 #[test_case("RTSP/1.0 200 OK\r\nCSeq: 1\r\nno field at all\r\n\r\n"; "a malformed header field")]
 fn invalid_answer_fails_only_the_plays_on_its_connection(bytes: &str) {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -7,7 +7,7 @@
 };
 use pulleystair::{LoadMetric, Outcome};
 use pulleystair_connections::ConnectionId;
-use pulleystair_rtsp::{Message, StartLine};
+use pulleystair_rtsp::{Message, StartLine, is_boundary_uncertain};
 use pulleystair_viewer_protocol::{self as protocol, code, kind};
 use tracing::debug;
 
@@ -100,26 +100,32 @@
         let mut used = 0;
         let mut parsed = Message::parse(input);
         loop {
-            match parsed {
+            let (message, length) = match parsed {
                 Ok(None) => return Some(used),
+                Ok(Some(parsed)) => parsed,
                 Err(e) => {
                     debug!(target: "server", server = self.state.server_id(server_number), "connection closed: message cannot be parsed: {e}");
                     self.state.stats.spoilt += 1;
                     return None;
                 }
-                Ok(Some((message, n))) => {
-                    used += n;
-                    parsed = Message::parse(&input[used..]);
-                    // If the bytes after a message cannot be parsed, the length of the message was wrong, so
-                    // the message is not used either.
-                    if parsed.is_ok() {
-                        self.handle_server_message(connection_id, server_number, &message);
-                        self.report_ends();
-                        if self.state.connections.get_mut(connection_id).is_none() {
-                            return Some(used);
-                        }
-                    }
-                }
+            };
+            let following = &input[used + length..];
+            parsed = Message::parse(following);
+            // If the bytes after a message cannot be parsed, the length of the message was wrong, so the
+            // message is not used either.
+            if parsed.is_err() {
+                continue;
+            }
+            // The message waits for the bytes that show whether its length was right.
+            let may_be_cut = following.is_empty() && input.len() >= MAX_INPUT_BYTES;
+            if may_be_cut || is_boundary_uncertain(following) {
+                return Some(used);
+            }
+            used += length;
+            self.handle_server_message(connection_id, server_number, &message);
+            self.report_ends();
+            if self.state.connections.get_mut(connection_id).is_none() {
+                return Some(used);
             }
         }
     }
--- a/crates/rtsp/src/lib.rs
+++ b/crates/rtsp/src/lib.rs
@@ -15,6 +15,10 @@
 const MAX_FIELDS: usize = 32;
 /// The protocol version in the start line.
 const VERSION: &str = "RTSP/1.0";
+/// The scheme with which the target of a request begins.
+const TARGET_SCHEME: &[u8] = b"rtsp://";
+/// Maximum number of characters of an invalid start line that its error quotes.
+const MAX_QUOTED_CHARS: usize = 60;
 
 /// Why bytes from a peer could not be parsed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -63,26 +67,61 @@
     is_valid.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
+/// The error for a start line that is neither that of a response nor that of a request.
+fn invalid_start_line(line: &str) -> ParseError {
+    ParseError::InvalidStartLine(line.chars().take(MAX_QUOTED_CHARS).collect())
+}
+
 /// Parses the start line of a response or a request.
 fn parse_start_line(line: &str) -> Result<StartLine, ParseError> {
-    let error = || ParseError::InvalidStartLine(line.chars().take(60).collect());
+    let error = || invalid_start_line(line);
     let (first_word, rest) = line.split_once(' ').ok_or_else(error)?;
     if first_word == VERSION {
         let code = rest.split(' ').next().unwrap_or(rest);
         let is_valid = code.len() == 3 && code.bytes().all(|b| b.is_ascii_digit());
         return is_valid.then(|| code.parse().ok()).flatten().map(StartLine::Response).ok_or_else(error);
     }
-    let is_method = !first_word.is_empty() && first_word.bytes().all(|b| b.is_ascii_uppercase() || b == b'_');
     let (target, version) = rest.rsplit_once(' ').ok_or_else(error)?;
-    if !is_method || version != VERSION || target.is_empty() || target.contains(' ') {
+    if !is_method(first_word) || version != VERSION || target.is_empty() || target.contains(' ') {
         return Err(error());
     }
     Ok(StartLine::Request(first_word.to_string()))
 }
 
+/// Whether a start line can begin with these words, of which the last may be incomplete.
+fn may_begin_start_line(line: &str) -> bool {
+    let mut words = line.splitn(3, ' ');
+    let (first_word, second_word, rest) = (words.next().unwrap_or(""), words.next(), words.next());
+    let Some(second_word) = second_word else {
+        return VERSION.starts_with(first_word) || is_method(first_word);
+    };
+    if first_word == VERSION {
+        let is_complete = rest.is_some();
+        let has_code_length = if is_complete { second_word.len() == 3 } else { second_word.len() <= 3 };
+        return has_code_length && second_word.bytes().all(|b| b.is_ascii_digit());
+    }
+    is_method(first_word)
+        && rest.is_none_or(|version| !second_word.is_empty() && VERSION.starts_with(version))
+}
+
+/// Whether a word can be the method of a request.
+fn is_method(word: &str) -> bool {
+    !word.is_empty() && word.bytes().all(|b| b.is_ascii_uppercase() || b == b'_')
+}
+
+/// Whether the bytes that follow a message are too few to show that another message begins there: they may
+/// as well be the rest of a body whose stated length is too small. No bytes at all are no such doubt.
+pub fn is_boundary_uncertain(following: &[u8]) -> bool {
+    let is_response =
+        following.starts_with(VERSION.as_bytes()) && following.get(VERSION.len()) == Some(&b' ');
+    let target_start = following.iter().position(|b| *b == b' ').map(|space| &following[space + 1..]);
+    let is_request = target_start.is_some_and(|target| target.starts_with(TARGET_SCHEME));
+    !following.is_empty() && !following.contains(&b'\n') && !is_response && !is_request
+}
+
 impl Message {
     /// Parses the first message of `input`. Returns the message and its length in bytes, or `None` if the
-    /// message is incomplete.
+    /// message is incomplete. An incomplete start line is checked as far as it goes.
     pub fn parse(input: &[u8]) -> Result<Option<(Message, usize)>, ParseError> {
         let line = &input[..input.iter().position(|b| *b == b'\n').unwrap_or(input.len())];
         if line.len() > MAX_START_LINE_BYTES {
@@ -92,10 +131,12 @@
         if let Some(invalid_byte) = start_line.iter().find(|b| !(b' '..=b'~').contains(*b)) {
             return Err(ParseError::InvalidByte(*invalid_byte));
         }
+        let start_line = String::from_utf8_lossy(start_line);
         if line.len() == input.len() {
-            return Ok(None);
+            let is_possible = may_begin_start_line(&start_line);
+            return if is_possible { Ok(None) } else { Err(invalid_start_line(&start_line)) };
         }
-        let start = parse_start_line(&String::from_utf8_lossy(start_line))?;
+        let start = parse_start_line(&start_line)?;
         let head = &input[line.len() + 1..];
         let mut header_slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let (used, headers) = match httparse::parse_headers(head, &mut header_slots) {
