--- a/crates/edge/tests/node_bad_peers.rs
+++ b/crates/edge/tests/node_bad_peers.rs
@@ -11,6 +11,7 @@
     ANSWER, NodeFixture, RELEASE, SET_UP, TITLE_AT_FIRST, start_fixture, start_session_at,
     start_with_sockets, start_with_twelve_servers, wait_for_contact,
 };
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -82,6 +83,25 @@
     assert_eq!((message.kind, message.parameter(21)), (RELEASE, Some(b"500".as_slice())));
 }
 
+/// Guards against a connection that is closed for the number of its refusals while set-ups are open on it (review/7): those got no
+/// answer. The first 48 set-ups of a connection are taken; no server answers them.
+#[test_case(&[]; "for want of room")]
+#[test_case(&[(3, "unheard-of")]; "as unusable")]
+fn refusals_leave_the_open_set_ups_of_their_connection_alone(refused: &[(u8, &str)]) {
+    let fixture = start_fixture();
+    let mut viewer = fixture.node.connect_viewer();
+    let taken = (1..=48).flat_map(|play| set_up_message(play, &[TITLE_AT_FIRST, (6, "1500")]));
+    let refused = (49..=700).flat_map(|play| set_up_message(play, refused));
+    viewer.send(&taken.chain(refused).collect::<Vec<u8>>());
+    let mut unanswered: BTreeSet<u64> = (1..=700).collect();
+    while !unanswered.is_empty() {
+        let message = viewer.next_message().expect("the node keeps the connection");
+        assert_eq!(message.kind, RELEASE, "{message:?}");
+        assert!(unanswered.remove(&message.session), "answered twice: {message:?}");
+    }
+    viewer.expect_no_message();
+}
+
 #[test]
 fn hundreds_of_idle_connections_do_not_block_a_viewer() {
     let fixture = start_with_sockets(64);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -59,9 +59,6 @@
     pub(crate) is_identified: bool,
     /// Plays whose set-up on this connection has no answer yet.
     pub(crate) pending_set_ups: Vec<u64>,
-    /// How many set-ups were rejected on this connection without becoming plays: unusable ones, and those
-    /// over a limit.
-    pub(crate) rejected_set_ups: usize,
     /// End notices that were queued recently. If the connection ends, the viewer may not have received them.
     pub(crate) recent_notices: Vec<EndNotice>,
 }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -28,8 +28,6 @@
 /// close on the network, ms. The platform states this time for a set-up that crosses a close; it is used for
 /// notices too.
 const CLOSE_CROSSING_MS: f64 = 50.0;
-/// A connection is closed once more set-ups than this were rejected on it.
-const MAX_REJECTED_SET_UPS: usize = 256;
 
 impl Node {
     /// Accepts all waiting connections. Returns false if there was no descriptor for some of them.
@@ -65,7 +63,6 @@
                 accepted_at: now,
                 is_identified: false,
                 pending_set_ups: Vec::new(),
-                rejected_set_ups: 0,
                 recent_notices: Vec::new(),
             };
             let Ok(connection_id) = self.state.connections.open(stream, None, Role::Viewer(viewer)) else {
@@ -301,7 +298,8 @@
     }
 
     /// Handles a set-up: starts a play, takes a session over, or rejects it. Returns false if the connection is
-    /// to be closed.
+    /// to be closed. However many set-ups are rejected, that is no reason: others may be open on the
+    /// connection, or under way to it.
     fn handle_set_up(&mut self, connection_id: ConnectionId, message: &Message) -> bool {
         let play = message.session;
         let now = self.state.now();
@@ -316,7 +314,8 @@
                     return false;
                 }
                 self.state.stats.unusable += 1;
-                return self.reject_set_up(connection_id, play, CAUSE_UNUSABLE, 0.0);
+                self.state.write_final_message(connection_id, play, CAUSE_UNUSABLE, 0.0);
+                return true;
             }
         };
         let current_server_id = set_up.current_server_id.take();
@@ -338,7 +337,9 @@
             || self.state.pending_set_up_count >= MAX_PENDING_SET_UPS
         {
             self.state.stats.flooded += 1;
-            return self.reject_set_up(connection_id, play, CAUSE_BUSY, self.state.limits.max_retry_after);
+            let retry_after = self.state.limits.max_retry_after;
+            self.state.write_final_message(connection_id, play, CAUSE_BUSY, retry_after);
+            return true;
         }
         viewer.pending_set_ups.push(play);
         self.state.pending_set_up_count += 1;
@@ -348,13 +349,4 @@
         self.dispatcher.add_play(now, play, &request, &mut self.state);
         true
     }
-
-    /// Rejects a set-up that never became a play, because it is unusable or over a limit. Returns false if
-    /// the connection is to be closed, because more than `MAX_REJECTED_SET_UPS` were rejected on it.
-    fn reject_set_up(&mut self, connection_id: ConnectionId, play: u64, cause: u8, retry_after: f64) -> bool {
-        self.state.write_final_message(connection_id, play, cause, retry_after);
-        let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
-        viewer.rejected_set_ups += 1;
-        viewer.rejected_set_ups <= MAX_REJECTED_SET_UPS
-    }
 }
