--- a/crates/edge/tests/fake_peers/servers.rs
+++ b/crates/edge/tests/fake_peers/servers.rs
@@ -182,6 +182,28 @@
         request
     }
 
+    /// Sends a note on this session twice a second from now on, until the connection ends.
+    pub fn keep_sending_notes(&self, session: u64) {
+        let mut stream = self.stream.try_clone().expect("a second descriptor");
+        let note = format!(
+            "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\nSession: {session:016x}\r\nX-Why: l\r\nFigure: 0.2\r\nContent-Length: 0\r\n\r\n"
+        );
+        std::thread::spawn(move || {
+            while stream.write_all(note.as_bytes()).is_ok() {
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
+
+    /// Asserts that nothing has arrived that was not taken yet.
+    pub fn expect_no_request(&mut self) {
+        self.stream.set_nonblocking(true).expect("making the socket non-blocking");
+        let peeked = self.stream.peek(&mut [0; 4096]).map_err(|e| e.kind());
+        assert!(self.input.is_empty());
+        assert_eq!(peeked, Err(std::io::ErrorKind::WouldBlock), "the node has sent a request");
+        self.stream.set_nonblocking(false).expect("making the socket blocking");
+    }
+
     /// Sends the node these bytes.
     pub fn send(&mut self, bytes: &str) {
         self.stream.write_all(bytes.as_bytes()).expect("the node reads");
--- a/crates/edge/tests/node_bad_peers.rs
+++ b/crates/edge/tests/node_bad_peers.rs
@@ -204,6 +204,24 @@
     connection.end_play(&mut viewer, 25);
 }
 
+/// Guards against a second copy of a refusal that counts as the response to the next attempt, whose set-up then runs once more.
+#[test_case(453; "full")]
+#[test_case(500; "an error")]
+fn second_copy_of_a_refusal_does_not_end_the_next_attempt(status: u16) {
+    let fixture = start_fixture();
+    let mut viewer = fixture.node.connect_viewer();
+    viewer.send(&set_up_message(26, &[TITLE_AT_FIRST]));
+    let (mut connection, request) = fixture.next_set_up(0);
+    connection.respond(&request, status, "");
+    let (mut next_connection, next_request) = fixture.next_set_up(0);
+    connection.expect_no_request();
+    connection.respond(&request, status, "");
+    fixture.wait_until_read(&mut viewer);
+    next_connection.respond(&next_request, 200, DESCRIPTION);
+    viewer.expect_message(ANSWER, 26);
+    next_connection.end_play(&mut viewer, 26);
+}
+
 // ---- size ----
 
 /// With 64 sockets a node may have ten connections to servers; each title is held by one of twelve servers.
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -121,6 +121,7 @@
         {
             let connection_id = session.server_connection_id.take();
             session.server_number = None;
+            session.earlier_connections.extend(connection_id);
             let waited = now - session.phase_started_at;
             if let Some(connection_id) = connection_id {
                 self.state.remove_pending_set_up(connection_id, play);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -293,7 +293,7 @@
         session.is_playing = true;
         session.phase_started_at = now;
         session.description = Vec::new();
-        session.abandoned_connections = Vec::new();
+        session.earlier_connections = Vec::new();
         let viewer_connection_id = session.viewer_connection_id;
         self.state.stats.played += 1;
         self.state.mark_set_up_answered(viewer_connection_id, play);
--- a/crates/node/src/set_up.rs
+++ b/crates/node/src/set_up.rs
@@ -125,7 +125,7 @@
         phase_started_at: 0.0,
         attempt_deadline: 0.0,
         attempts: 0,
-        abandoned_connections: Vec::new(),
+        earlier_connections: Vec::new(),
         rung: 0,
         rung_sent: 0,
         release_cause: CAUSE_WITHDRAWN,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -100,9 +100,9 @@
     pub(crate) attempt_deadline: f64,
     /// How many attempts were made, which is also the number of the current one.
     pub(crate) attempts: u32,
-    /// Connections on which earlier attempts were abandoned. Late responses there must not be taken for those
-    /// of a newer attempt.
-    pub(crate) abandoned_connections: Vec<ConnectionId>,
+    /// Connections on which earlier attempts were made. What arrives there late or twice must not be taken for
+    /// the response to a newer attempt, so no newer attempt uses them.
+    pub(crate) earlier_connections: Vec<ConnectionId>,
     pub(crate) rung: usize,
     /// The last rung that was sent to the server or reported by it.
     pub(crate) rung_sent: usize,
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -72,7 +72,7 @@
     pub(crate) fn send_set_up(&mut self, attempt: &Attempt, server_number: u32) -> bool {
         let now = self.now();
         let excluded =
-            self.sessions.get(&attempt.play).map(|s| s.abandoned_connections.clone()).unwrap_or_default();
+            self.sessions.get(&attempt.play).map(|s| s.earlier_connections.clone()).unwrap_or_default();
         let Some(connection_id) = self.connection_for_set_up(server_number, &excluded) else { return false };
         let Some(session) = self.sessions.get_mut(&attempt.play) else { return true };
         session.server_connection_id = Some(connection_id);
@@ -157,7 +157,7 @@
             return true;
         }
         if let Some(session) = self.sessions.get_mut(&play) {
-            session.abandoned_connections.push(connection_id);
+            session.earlier_connections.push(connection_id);
         }
         self.remove_pending_set_up(connection_id, play);
         let bytes = rtsp::encode_request("TEARDOWN", "session", CSEQ_TEARDOWN, play, &[], b"");
