--- a/crates/edge/tests/node_lifecycle.rs
+++ b/crates/edge/tests/node_lifecycle.rs
@@ -8,7 +8,7 @@
     set_up_message,
 };
 use node_fixture::{
-    ANSWER, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements, wait_for_contact,
+    ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements, wait_for_contact,
 };
 use std::time::Duration;
 use test_case::test_case;
@@ -30,6 +30,62 @@
     drop(old_connection);
 }
 
+/// Lists another server, under a new id, at the address of the first one, which is gone.
+fn replace_first_server(fixture: &NodeFixture, started_at: u64) {
+    let successor = ServerRecord { id: "s-0000000c".into(), started_at, ..fixture.servers[0].dns_record() };
+    fixture.dns.update_zone(|zone| {
+        (zone.serial, zone.records) = (2, vec![successor, fixture.servers[1].dns_record()]);
+    });
+    fixture.node.wait_for_log("serial=2");
+}
+
+/// Guards against sessions of a process that has died, which live on because another server has come up at its address and is taken for
+/// it (review/8). A session that was set up at the new process under the old id goes on, and can be ended.
+#[test]
+fn sessions_end_when_another_server_has_come_up_at_the_address() {
+    let fixture = start_fixture();
+    let mut viewer = fixture.node.connect_viewer();
+    let connection = fixture.start_session(&mut viewer, 30);
+    // Nothing is refused between the end of the old process and the start of the new one.
+    connection.reset();
+    let mut new_connection = fixture.servers[0].accept();
+    viewer.send(&set_up_message(31, &[TITLE_AT_FIRST]));
+    new_connection.serve_set_up(&mut viewer, 31);
+    new_connection.keep_sending_notes(31);
+    replace_first_server(&fixture, 0);
+    assert_eq!(viewer.expect_message(RELEASE, 30).cause(), 41);
+    viewer.expect_no_message();
+    viewer.send(&encode_message(RELEASE, 31, &[(45, &[16])]));
+    while new_connection.expect_request("TEARDOWN").session() != 31 {}
+}
+
+/// The list tells when the process at the address started. Guards against older sessions that count as its own because it is heard.
+#[test]
+fn sessions_older_than_the_start_of_the_server_at_their_address_end() {
+    let fixture = start_fixture();
+    let mut viewer = fixture.node.connect_viewer();
+    let connection = fixture.start_session(&mut viewer, 32);
+    connection.keep_sending_notes(999);
+    let since_1970 =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock after 1970");
+    replace_first_server(&fixture, since_1970.as_millis() as u64 + 1);
+    assert_eq!(viewer.expect_message(RELEASE, 32).cause(), 41);
+    drop(connection);
+}
+
+/// A node that starts with an old list adopts a session at a server whose address another one has by now, and reaches that one.
+#[test]
+fn handed_over_session_ends_when_another_server_has_the_address() {
+    let fixture = start_fixture();
+    let mut viewer = fixture.node.connect_viewer();
+    viewer.send(&hand_over_message(33, "s-0000000a"));
+    let connection = fixture.servers[0].accept();
+    connection.keep_sending_notes(999);
+    replace_first_server(&fixture, 0);
+    assert_eq!(viewer.expect_message(RELEASE, 33).cause(), 41);
+    drop(connection);
+}
+
 #[test]
 fn draining_and_delisted_servers_get_no_new_plays() {
     let fixture = start_fixture();
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -129,7 +129,7 @@
         let request = set_up.request;
         let mut session = new_session(viewer_connection_id, viewer_ip, set_up);
         (session.server_number, session.is_playing, session.phase_started_at) =
-            (Some(server_number), true, now);
+            (Some(server_number), true, f64::NEG_INFINITY);
         self.state.sessions.insert(play, session);
         self.state.add_playing_session(now, server_number);
         self.dispatcher.adopt(now, play, &request, server_number, &mut self.state);
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -121,6 +121,7 @@
             self.end_sessions_before(server_number, started_at);
         }
         self.adopt_listed_hand_overs();
+        self.end_sessions_at_replaced_servers();
         self.cancel_unsent_set_ups();
         self.report_ends();
         self.forget_gone_servers();
--- a/crates/node/src/liveness.rs
+++ b/crates/node/src/liveness.rs
@@ -102,6 +102,9 @@
     /// When the server was last heard, or its first session was handed over.
     last_heard_at: f64,
     possible_restart: Option<PossibleRestart>,
+    /// Since when connections have certainly led to the process that is reached now: there was no moment since
+    /// without a connection, and no sign of a restart.
+    same_process_since: f64,
     /// When the node last pinged the server.
     last_ping_at: f64,
     /// When the node last dialled the server, or had no connection left for it.
@@ -127,6 +130,7 @@
     /// Something arrived that only a process can have sent which existed at `existed_at`: on a connection that
     /// was established then, or about a session that began then.
     pub(crate) fn on_heard(&mut self, now: f64, existed_at: f64) {
+        self.same_process_since = self.same_process_since.min(existed_at);
         if self.possible_restart.is_some_and(|restart| existed_at < restart.at) {
             self.possible_restart = None;
         }
@@ -137,6 +141,9 @@
     pub(crate) fn on_connected(&mut self, now: f64, has_other: bool, limits: &NodeLimits) {
         let is_suspect = has_other || self.failed_dials >= MAX_FAILED_DIALS;
         let may_have_restarted = is_suspect && self.silence(now) >= MIN_RESTART_MS;
+        if !has_other || may_have_restarted {
+            self.same_process_since = now;
+        }
         if may_have_restarted && can_confirm_sessions(limits) && self.possible_restart.is_none() {
             self.possible_restart = Some(PossibleRestart { at: now, last_heard_before: self.last_heard_at });
         }
@@ -149,6 +156,11 @@
         self.failed_dials = 0;
     }
 
+    /// Since when connections have certainly led to the process that is reached now, Unix ms.
+    pub(crate) fn same_process_since(&self) -> f64 {
+        self.same_process_since
+    }
+
     /// The node pings the server on the connections from before it may have restarted.
     pub(crate) fn on_pinged(&mut self, now: f64) {
         self.last_ping_at = now;
--- a/crates/node/src/lost_servers.rs
+++ b/crates/node/src/lost_servers.rs
@@ -1,6 +1,7 @@
 //! Media servers that are lost, silent, restarted or gone, and what becomes of the sessions at them.
 
 use crate::liveness::{Connectivity, DialFailure, LivenessAction};
+use crate::media_server::Server;
 use crate::node::Node;
 use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState, Role};
 use pulleystair::Outcome;
@@ -32,6 +33,24 @@
         }
     }
 
+    /// The server that has the address of one that is gone; `None` if the server is not gone, or nobody has
+    /// its address.
+    pub(crate) fn successor(&self, server_number: u32) -> Option<u32> {
+        let gone = self.servers.get(&server_number).filter(|server| server.is_gone())?;
+        let is_successor = |server: &Server| !server.is_gone() && server.address == gone.address;
+        self.servers.iter().filter(|(_, server)| is_successor(server)).map(|(n, _)| *n).min()
+    }
+
+    /// Since when the process has existed that is reached at the address of a server that is gone and has a
+    /// successor, Unix ms: since the successor's start or, if the list does not name that, since connections
+    /// have certainly led to the same process.
+    fn successor_since(&self, server_number: u32, successor: u32) -> Option<f64> {
+        let started_at = self.servers.get(&successor)?.listing.started_at;
+        let is_start_listed = started_at > 0.0;
+        let same_process_since = self.servers.get(&server_number)?.liveness.same_process_since();
+        Some(if is_start_listed { started_at } else { same_process_since })
+    }
+
     /// Requests a load report on the connections to a server that were established before a time.
     fn ping(&mut self, now: f64, server_number: u32, established_before: f64) {
         let Some(server) = self.servers.get_mut(&server_number) else { return };
@@ -109,11 +128,38 @@
         let _ = self.state.dial(server_number, may_close_needed);
     }
 
-    /// Ends all sessions at a server that is lost, and closes the connections to it.
+    /// Ends all sessions at a server that is lost, and closes the connections to it. Those that run at its
+    /// successor have to end there too.
     fn on_server_lost(&mut self, server_number: u32) {
         let plays = self.state.servers.get(&server_number).map_or(0, |s| s.playing_sessions);
         info!(target: "server", server = self.state.server_id(server_number), plays, "server lost: its sessions end");
-        self.end_sessions_before(server_number, f64::INFINITY);
+        let ended = self.end_sessions_before(server_number, f64::INFINITY);
+        if let Some(successor) = self.state.successor(server_number) {
+            self.tear_down_all(successor, &ended);
+        }
+    }
+
+    /// Ends the sessions at servers that are gone and whose address another server has by now, unless they
+    /// began at that one: set-ups may have reached it under the id of the server before. A session that ends
+    /// although it runs there has to end there too.
+    pub(crate) fn end_sessions_at_replaced_servers(&mut self) {
+        for server_number in self.state.playing_servers.clone() {
+            let Some(successor) = self.state.successor(server_number) else { continue };
+            let Some(since) = self.state.successor_since(server_number, successor) else { continue };
+            if self.state.plays_begun_before(server_number, since).is_empty() {
+                continue;
+            }
+            let ended = self.end_sessions_before(server_number, since);
+            info!(target: "server", server = self.state.server_id(server_number), successor = self.state.server_id(successor), plays = ended.len(), "another server has the address of one that is gone: its sessions end");
+            self.tear_down_all(successor, &ended);
+        }
+    }
+
+    /// Has a server end these sessions, which count as ended already.
+    fn tear_down_all(&mut self, server_number: u32, plays: &[u64]) {
+        for play in plays {
+            self.state.tear_down_on_server(server_number, None, *play, CAUSE_WITHDRAWN);
+        }
     }
 
     /// Pings, dials or gives up the servers with sessions that are silent, the longest silent first.
@@ -123,6 +169,7 @@
     /// its time. With M servers and K connections, a server is thus heard again within `MAKE_ROOM_AFTER_MS`
     /// plus M / K times half a second, if that is less than the time after which it counts as lost.
     pub(crate) fn check_liveness(&mut self, now: f64) {
+        self.end_sessions_at_replaced_servers();
         let mut due: Vec<(f64, u32, LivenessAction)> = Vec::new();
         for server_number in self.state.playing_servers.clone() {
             let Some((silence, action)) = self.liveness_action(now, server_number) else { continue };
@@ -177,16 +224,13 @@
     fn end_unconfirmed_sessions(&mut self, server_number: u32, restarted_at: f64) {
         let plays = self.end_sessions_before(server_number, restarted_at);
         info!(target: "server", server = self.state.server_id(server_number), plays = plays.len(), "server may have restarted: its sessions end");
-        for play in plays {
-            self.state.tear_down_on_server(server_number, None, play, CAUSE_WITHDRAWN);
-        }
+        self.tear_down_all(server_number, &plays);
     }
 
     /// Ends the sessions at a server that are older than the start of its process, and closes the connections
     /// that are: they are lost. Returns the plays of those sessions.
     pub(crate) fn end_sessions_before(&mut self, server_number: u32, started_at: f64) -> Vec<u64> {
-        let mut plays = self.state.plays_playing_on(server_number);
-        plays.retain(|play| self.state.sessions.get(play).is_some_and(|s| s.phase_started_at < started_at));
+        let plays = self.state.plays_begun_before(server_number, started_at);
         for play in &plays {
             self.on_session_ended_by_server(*play, server_number, Outcome::Broken, CAUSE_FAILED, &[]);
         }
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -166,7 +166,8 @@
         }
     }
 
-    /// A connection on which to send requests about a server's sessions: an existing one, or a new one.
+    /// A connection on which to send requests about a server's sessions: an existing one, or a new one. If the
+    /// server is gone, that is one to its successor, at which the sessions run that are left.
     /// `may_close_needed`: the only connection to another server with sessions may be closed for the new one.
     pub(crate) fn connection_to(
         &mut self,
@@ -179,7 +180,13 @@
                 .get_mut(*connection_id)
                 .is_some_and(|connection| !connection.has_ended && matches!(&connection.role, Role::Server(server_connection) if !server_connection.is_unresponsive))
         });
-        usable.or_else(|| self.dial(server_number, may_close_needed))
+        if usable.is_some() {
+            return usable;
+        }
+        match self.successor(server_number) {
+            Some(successor) => self.connection_to(successor, may_close_needed),
+            None => self.dial(server_number, may_close_needed),
+        }
     }
 
     /// The `preferred` connection if it is open, otherwise any connection to the server.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -94,7 +94,8 @@
     pub(crate) server_connection_id: Option<ConnectionId>,
     /// Whether the server has accepted the set-up.
     pub(crate) is_playing: bool,
-    /// When the current attempt was made or, once the session plays, when that began, Unix ms.
+    /// When the current attempt was made or, once the session plays, when that began, Unix ms; negative
+    /// infinity if the session was handed over and so began before.
     pub(crate) phase_started_at: f64,
     /// When the current attempt times out, Unix ms.
     pub(crate) attempt_deadline: f64,
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -3,6 +3,7 @@
 use crate::media_server::{PendingSetUp, Teardown};
 use crate::state::{
     Attempt, CSEQ_OTHER, CSEQ_PROBE, CSEQ_SET_UP, CSEQ_TEARDOWN, MAX_NOTICES, NOTICE_TTL_MS, NodeState, Role,
+    Session,
 };
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp as rtsp;
@@ -51,7 +52,8 @@
     pub(crate) fn retry_pending_teardowns(&mut self, now: f64) {
         for teardown in std::mem::take(&mut self.pending_teardowns) {
             let is_reachable =
-                self.servers.get(&teardown.server_number).is_some_and(|s| s.dial_address().is_some());
+                self.servers.get(&teardown.server_number).is_some_and(|s| s.dial_address().is_some())
+                    || self.successor(teardown.server_number).is_some();
             if is_reachable && now - teardown.created_at < NOTICE_TTL_MS {
                 self.send_teardown(None, teardown);
             }
@@ -173,11 +175,15 @@
         }
     }
 
-    /// The ids of the plays that are playing on a server, ascending.
-    pub(crate) fn plays_playing_on(&self, server_number: u32) -> Vec<u64> {
-        let playing_here =
-            self.sessions.iter().filter(|(_, s)| s.is_playing && s.server_number == Some(server_number));
-        let mut plays: Vec<u64> = playing_here.map(|(play, _)| *play).collect();
+    /// The ids of the plays on a server that began to play before a time, ascending.
+    pub(crate) fn plays_begun_before(&self, server_number: u32, time: f64) -> Vec<u64> {
+        let is_earlier = |session: &Session| {
+            session.is_playing
+                && session.server_number == Some(server_number)
+                && session.phase_started_at < time
+        };
+        let earlier = self.sessions.iter().filter(|(_, session)| is_earlier(session));
+        let mut plays: Vec<u64> = earlier.map(|(play, _)| *play).collect();
         plays.sort_unstable();
         plays
     }
