--- a/crates/edge/tests/node_races_sessions.rs
+++ b/crates/edge/tests/node_races_sessions.rs
@@ -6,7 +6,8 @@
 mod node_fixture;
 
 use fake_peers::{
-    DnsServer, MediaServer, Node, ServerConnection, Viewer, encode_message, hand_over_message, set_up_message,
+    DnsMode, DnsServer, MediaServer, Node, ServerConnection, Viewer, encode_message, hand_over_message,
+    set_up_message,
 };
 use node_fixture::{NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_full_backlog};
 use std::io::Write;
@@ -102,6 +103,30 @@
     servers[0].accept().end_play(&mut viewer, 124);
 }
 
+/// The viewer's connection is reset, and the viewer hands its session, which the node holds, over on a new one. Guards against viewers
+/// who are back and are not notified of the end (review/9). The session plays or waits for a list that names its server.
+#[test_case(FIRST_SERVER, &[]; "a session that plays")]
+#[test_case("s-0000000c", &[DnsMode::Silent]; "a session at a server not yet listed")]
+fn end_is_sent_to_a_viewer_that_repeats_its_hand_over(server_id: &str, modes: &[DnsMode]) {
+    let fixture = start_fixture();
+    modes.iter().for_each(|mode| fixture.dns.update_zone(|zone| (zone.serial, zone.mode) = (2, *mode)));
+    let mut first_viewer = fixture.node.connect_viewer();
+    first_viewer.send(&hand_over_message(163, server_id));
+    first_viewer.expect_no_message();
+    first_viewer.reset();
+    let mut viewer = fixture.node.connect_viewer();
+    viewer.send(&hand_over_message(163, server_id));
+    viewer.expect_no_message();
+    if modes.is_empty() {
+        // More than the time after which a connection is closed that is not a viewer's.
+        fixture.dns.wait_for_queries(18);
+        fixture.servers[0].accept().end_play(&mut viewer, 163);
+    } else {
+        fixture.dns.update_zone(|zone| zone.mode = DnsMode::Normal);
+        assert_eq!(viewer.expect_message(RELEASE, 163).cause(), 41);
+    }
+}
+
 // ---- the end notice and the close of its connection ----
 
 /// Connects two viewers of the same address, each with an established session: of this id and of the next one. Returns them and the
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -54,6 +54,11 @@
         self.by_play.contains_key(&play)
     }
 
+    /// The connection that brought the hand-over of this session, if one waits.
+    fn connection_of(&self, play: u64) -> Option<ConnectionId> {
+        self.by_play.get(&play).map(|hand_over| hand_over.viewer_connection_id)
+    }
+
     /// Whether a further hand-over on this connection is within the limits.
     fn has_room(&self, connection_id: ConnectionId) -> bool {
         let count = self.counts.get(&connection_id).copied().unwrap_or(0);
@@ -66,6 +71,14 @@
         self.by_play.insert(hand_over.play, hand_over);
     }
 
+    /// Records that a viewer has repeated a hand-over that waits, on another connection.
+    fn move_to(&mut self, play: u64, connection_id: ConnectionId, viewer_ip: Option<IpAddr>) {
+        for mut hand_over in self.take(|hand_over| hand_over.play == play) {
+            (hand_over.viewer_connection_id, hand_over.viewer_ip) = (connection_id, viewer_ip);
+            self.insert(hand_over);
+        }
+    }
+
     /// Removes and returns the hand-overs for which `is_taken` returns true, by ascending session id.
     fn take(&mut self, is_taken: impl Fn(&HandOver) -> bool) -> Vec<HandOver> {
         let all = std::mem::take(self).by_play.into_values();
@@ -98,6 +111,29 @@
         }
     }
 
+    /// Handles the hand-over of a session that the node holds already. The connection on which the viewer is to
+    /// be notified of the end may be over; the viewer is reached on this one then.
+    pub(crate) fn handle_known_hand_over(
+        &mut self,
+        play: u64,
+        connection_id: ConnectionId,
+        viewer_ip: Option<IpAddr>,
+    ) {
+        let known_connection_id = match self.state.sessions.get(&play) {
+            Some(session) => Some(session.viewer_connection_id).filter(|_| session.is_playing),
+            None => self.state.unlisted_hand_overs.connection_of(play),
+        };
+        if let Some(known_connection_id) = known_connection_id
+            && !self.state.is_peer_open(known_connection_id)
+        {
+            self.state.unlisted_hand_overs.move_to(play, connection_id, viewer_ip);
+            if let Some(session) = self.state.sessions.get_mut(&play) {
+                (session.viewer_connection_id, session.viewer_ip) = (connection_id, viewer_ip);
+            }
+        }
+        self.mark_identified(connection_id);
+    }
+
     /// Keeps a hand-over until a list names its server.
     fn keep_unlisted(&mut self, hand_over: HandOver) {
         let report = self.state.ended_sessions.report(self.state.now(), hand_over.play);
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -319,21 +319,26 @@
             }
         };
         let current_server_id = set_up.current_server_id.take();
-        if is_known {
-            return current_server_id.is_some();
-        }
         let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
         let viewer_ip = connection.peer_ip();
+        if is_known {
+            let is_hand_over = current_server_id.is_some();
+            if is_hand_over {
+                self.handle_known_hand_over(play, connection_id, viewer_ip);
+            }
+            return is_hand_over;
+        }
         if let Some(server_id) = current_server_id {
             let viewer_connection_id = connection_id;
             self.handle_hand_over(HandOver { play, viewer_connection_id, viewer_ip, server_id, set_up });
             return true;
         }
         self.state.stats.asked += 1;
-        let Role::Viewer(viewer) = &mut connection.role else { return true };
+        let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
+        let pending_here = viewer.pending_set_ups.len();
         let is_over_limit = self.state.viewer_connections.len() > self.state.shares.viewers;
         if is_over_limit
-            || viewer.pending_set_ups.len() >= MAX_SET_UPS_PER_VIEWER_CONNECTION
+            || pending_here >= MAX_SET_UPS_PER_VIEWER_CONNECTION
             || self.state.pending_set_up_count >= MAX_PENDING_SET_UPS
         {
             self.state.stats.flooded += 1;
@@ -341,7 +346,9 @@
             self.state.write_final_message(connection_id, play, CAUSE_BUSY, retry_after);
             return true;
         }
-        viewer.pending_set_ups.push(play);
+        if let Some(viewer) = self.state.viewer_connection(connection_id) {
+            viewer.pending_set_ups.push(play);
+        }
         self.state.pending_set_up_count += 1;
         let request = set_up.request;
         self.state.sessions.insert(play, new_session(connection_id, viewer_ip, set_up));
