--- a/crates/edge/tests/node_races_sessions.rs
+++ b/crates/edge/tests/node_races_sessions.rs
@@ -176,6 +176,50 @@
     other_address_viewer.expect_no_message();
 }
 
+/// The viewer is back before its notice is due, at its address; another viewer is connected all the time. Guards against notices that
+/// go to another viewer and count as sent (`foreign` in review/REPORT-2.md).
+#[test]
+fn end_notice_waits_for_a_connection_from_its_viewers_address() {
+    let fixture = start_fixture();
+    let address = [127, 0, 0, 2];
+    let (mut first_viewer, mut other_viewer) =
+        (fixture.node.connect_viewer_from(address), fixture.node.connect_viewer());
+    let mut connection = fixture.start_session(&mut first_viewer, 164);
+    other_viewer.send(&set_up_message(165, &[TITLE_AT_FIRST]));
+    connection.serve_set_up(&mut other_viewer, 165);
+    first_viewer.reset();
+    other_viewer.expect_no_message();
+    connection.send_request("TEARDOWN", 164, "Reason: cause=41\r\n");
+    fixture.dns.wait_for_queries(1);
+    let mut viewer = fixture.node.connect_viewer_from(address);
+    viewer.send(&hand_over_message(166, FIRST_SERVER));
+    assert_eq!(viewer.expect_message(RELEASE, 164).cause(), 41);
+    fixture.dns.wait_for_queries(8);
+    other_viewer.expect_no_message();
+}
+
+/// The viewer does not come back within a second: another viewer's connection has to do. If it is back later, it is notified too.
+#[test]
+fn end_notice_is_sent_on_any_connection_after_a_wait() {
+    let fixture = start_fixture();
+    let address = [127, 0, 0, 2];
+    let (mut first_viewer, mut other_viewer) =
+        (fixture.node.connect_viewer_from(address), fixture.node.connect_viewer());
+    let mut connection = fixture.start_session(&mut first_viewer, 167);
+    other_viewer.send(&set_up_message(168, &[TITLE_AT_FIRST]));
+    connection.serve_set_up(&mut other_viewer, 168);
+    first_viewer.reset();
+    other_viewer.expect_no_message();
+    let ended_at = Instant::now();
+    connection.send_request("TEARDOWN", 167, "Reason: cause=41\r\n");
+    assert_eq!(other_viewer.expect_message(RELEASE, 167).cause(), 41);
+    assert!(ended_at.elapsed() < Duration::from_secs(1));
+    let mut viewer = fixture.node.connect_viewer_from(address);
+    viewer.send(&hand_over_message(169, FIRST_SERVER));
+    assert_eq!(viewer.expect_message(RELEASE, 167).cause(), 41);
+    other_viewer.expect_no_message();
+}
+
 /// No viewer is connected; the next one that sends a request receives the notice.
 #[test]
 fn unread_end_notice_is_kept_for_the_next_viewer() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -129,6 +129,7 @@
                 Timer::Dispatcher(timer) => self.dispatcher.on_timer(now, timer, &mut self.state),
                 Timer::AttemptDeadline(play, number) => self.on_attempt_deadline(play, number),
                 Timer::ConnectionDeadline(connection_id) => self.on_connection_deadline(now, connection_id),
+                Timer::EndNotice(play) => self.state.send_notice_elsewhere(play),
                 Timer::QueryList => self.query_list_if_due(now),
                 Timer::CheckLiveness => {
                     self.check_liveness(now);
@@ -137,6 +138,7 @@
                 Timer::CheckServers => {
                     self.end_unlisted_hand_overs(now);
                     self.state.retry_pending_teardowns(now);
+                    self.state.drop_expired_notices();
                     if enabled!(target: "belief", tracing::Level::DEBUG) {
                         self.log_server_view();
                     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -52,6 +52,8 @@
 
 /// A viewer's connection.
 pub(crate) struct ViewerConnection {
+    /// The viewer's address.
+    pub(crate) ip: Option<IpAddr>,
     /// When it was accepted, Unix ms. Infinite once a health check has arrived on it, which means that it is
     /// not closed for lack of a set-up.
     pub(crate) accepted_at: f64,
@@ -64,6 +66,7 @@
 }
 
 /// The notice to a viewer that its session has ended.
+#[derive(Clone, Copy)]
 pub(crate) struct EndNotice {
     pub(crate) play: u64,
     pub(crate) cause: u8,
@@ -73,6 +76,8 @@
     pub(crate) ended_at: f64,
     /// When the notice was last queued on a connection, Unix ms.
     pub(crate) queued_at: f64,
+    /// Whether it was sent on a connection from another address, and is kept for one from its viewer's.
+    pub(crate) is_sent_elsewhere: bool,
 }
 
 /// An attempt that the dispatcher requests, numbered from 1 within its play.
@@ -120,6 +125,8 @@
     AttemptDeadline(u64, u32),
     /// The deadline of a connection may have passed.
     ConnectionDeadline(ConnectionId),
+    /// The end notice of this play has waited long enough for a connection from its viewer's address.
+    EndNotice(u64),
     /// The name service is queried.
     QueryList,
     /// Servers with sessions are pinged, dialled or lost if they are silent.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -36,8 +36,8 @@
             return true;
         };
         loop {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
+            let (stream, address) = match listener.accept() {
+                Ok(accepted) => accepted,
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => continue,
                 // No descriptor is left for the waiting connection, so another one is closed.
@@ -60,6 +60,7 @@
             }
             let now = self.state.now();
             let viewer = ViewerConnection {
+                ip: Some(address.ip()),
                 accepted_at: now,
                 is_identified: false,
                 pending_set_ups: Vec::new(),
@@ -319,8 +320,8 @@
             }
         };
         let current_server_id = set_up.current_server_id.take();
-        let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
-        let viewer_ip = connection.peer_ip();
+        let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
+        let viewer_ip = viewer.ip;
         if is_known {
             let is_hand_over = current_server_id.is_some();
             if is_hand_over {
