A test takes each attempt from a connection of its own, as they are made now

Seen: failed_play_is_answered_at_once_with_retry_after waits for the second attempt on the connection of the first.

The test checks the same: four attempts, four refusals, and an answer at once.

--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -4,7 +4,9 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, MediaServer, Node, ServerRecord, encode_message, set_up_message};
+use fake_peers::{
+    DESCRIPTION, MediaServer, Node, ServerConnection, ServerRecord, encode_message, set_up_message,
+};
 use node_fixture::{
     ANSWER, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements, wait_for_contact,
 };
@@ -140,18 +142,21 @@
     let mut viewer = fixture.node.connect_viewer();
     let started_at = Instant::now();
     viewer.send(&set_up_message(9, &[TITLE_AT_FIRST]));
-    let (mut connection, mut request) = fixture.next_set_up(0);
-    for _ in 0..3 {
-        connection.respond(&request, 453, "");
-        request = connection.expect_request("SETUP");
-    }
-    connection.respond(&request, 453, "");
+    // Each attempt is made on a connection of its own, where no second copy of an earlier refusal can come.
+    let refused_connections: Vec<ServerConnection> = (0..4)
+        .map(|_| {
+            let (mut connection, request) = fixture.next_set_up(0);
+            connection.respond(&request, 453, "");
+            connection
+        })
+        .collect();
     let message = viewer.expect_message(RELEASE, 9);
     assert_eq!((message.cause(), message.parameter(21)), (34, Some(b"500".as_slice())));
     assert!(
         started_at.elapsed() < Duration::from_millis(2_900),
         "the answer was delayed until the time limit of the viewer"
     );
+    drop(refused_connections);
 }
 
 /// The only holder has just started and accepts its next play in a minute; the viewer waits for up to two.
