--- a/crates/edge/tests/fake_peers/servers.rs
+++ b/crates/edge/tests/fake_peers/servers.rs
@@ -242,6 +242,12 @@
         assert_eq!(viewer.expect_message(12, session).cause(), 16);
     }
 
+    /// The socket of the connection.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream.set_read_timeout(None).expect("no read timeout");
+        self.stream
+    }
+
     /// Closes the connection with a FIN, as a server closes an idle one; the socket is closed when the value is dropped.
     pub fn close(self) {}
 
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -54,12 +54,25 @@
         self.state.unreported_ends.push_back(AttemptEnd { play, server_number, outcome });
     }
 
+    /// Holds a play's attempt, whose set-up was queued and cancelled, until its viewer's input is read.
+    fn hold_attempt(&mut self, play: u64) {
+        let Some(session) = self.state.sessions.get_mut(&play) else { return };
+        session.server_connection_id = None;
+        let number = session.attempts;
+        self.state.held_attempts.push(Attempt { play, number });
+    }
+
     /// Checks the set-ups that are queued on a connection and about to be sent. A set-up is dropped if its
-    /// viewer no longer waits for it or its deadline has passed.
+    /// viewer no longer waits for it or its deadline has passed, and held if the viewer's input was read only in
+    /// part.
     pub(crate) fn recheck_unsent_set_ups(&mut self, connection_id: ConnectionId) {
         for play in self.state.unsent_set_ups(connection_id) {
-            if let Some(session) = self.state.sessions.get(&play) {
-                self.handle_viewer_connection(session.viewer_connection_id);
+            if let Some(session) = self.state.sessions.get(&play)
+                && !self.handle_viewer_connection(session.viewer_connection_id)
+                && self.state.cancel_unsent_set_up(connection_id, play)
+            {
+                self.hold_attempt(play);
+                continue;
             }
             let now = self.state.now();
             if let Some(session) =
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `node`: the event loop
 //! - `stopping`: the shutdown
 //! - `viewers` and `servers`: what viewers and servers send
+//! - `viewer_connections`: the connections of viewers
 //! - `set_up`: the parsing of a viewer's set-up
 //! - `hand_overs`: sessions that play already when the node starts
 //! - `attempts`: attempts at servers
@@ -18,6 +19,7 @@
 //! - `actions`: what the node does for the dispatcher
 //! - `to_viewers` and `to_servers`: what is sent to viewers and servers
 //! - `ended_sessions`: recently ended sessions
+//! - `revisit_queue`: connections to be handled again in the next turn
 //! - `shares`: the division of the file descriptors
 
 mod actions;
@@ -32,6 +34,7 @@
 mod media_server;
 mod node;
 mod reload;
+mod revisit_queue;
 mod server_connections;
 mod servers;
 mod set_up;
@@ -40,6 +43,7 @@
 mod stopping;
 mod to_servers;
 mod to_viewers;
+mod viewer_connections;
 mod viewers;
 
 pub use config::Config;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,9 @@
 /// Intervals at which what waits for a server is checked, and the counters are logged, ms.
 pub(crate) const SERVER_CHECK_INTERVAL_MS: f64 = 500.0;
 const STATS_INTERVAL_MS: f64 = 5_000.0;
+/// A deadline waits this long for a connection that has input left, ms.
+const REVISIT_DELAY_MS: f64 = 10.0;
+
 /// A node: the dispatcher, the state that its actions change, and the client of the name service.
 pub struct Node {
     pub(crate) dispatcher: Dispatcher,
@@ -84,9 +87,10 @@
     // fire.
     while !(node.is_done() && node.drain_input_and_check_done()) {
         let delay = node.state.dispatch_timeout();
+        node.state.turn += 1;
         event_loop.dispatch(delay, &mut node)?;
         for _ in 0..node.state.revisit_queue.len() {
-            let Some(connection_id) = node.state.revisit_queue.pop_front() else { break };
+            let Some(connection_id) = node.state.revisit_queue.pop() else { break };
             node.handle_connection(connection_id);
         }
         node.fire_due_timers();
@@ -170,8 +174,12 @@
         if !is_due(self) {
             return;
         }
-        // The loop may be late, so input that has arrived by now is handled before the deadline applies.
+        // The loop may be late, so input that has arrived by now is handled before the deadline applies. What is
+        // left for the next turn is handled then, and the deadline waits.
         self.handle_connection(connection_id);
+        if self.state.revisit_queue.contains(connection_id) {
+            return self.state.schedule(now + REVISIT_DELAY_MS, Timer::ConnectionDeadline(connection_id));
+        }
         let Some(connection) =
             self.state.connections.get_mut(connection_id).filter(|connection| connection.deadline <= now)
         else {
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -216,7 +216,7 @@
             server_connection.unsent_teardowns.retain(|teardown| teardown.offset >= bytes_sent);
         }
         if is_closed {
-            self.revisit_queue.push_back(connection_id);
+            self.revisit_queue.push(connection_id);
         }
     }
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -86,7 +86,7 @@
                 return;
             }
         }
-        self.state.revisit_queue.push_back(connection_id);
+        self.state.revisit_queue.push(connection_id);
     }
 
     /// Handles the complete messages of `input`. Returns how many bytes they take, or `None` if the input
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,6 +7,7 @@
 use crate::hand_overs::UnlistedHandOvers;
 use crate::media_server::{Server, ServerConnection, Teardown};
 use crate::node::Node;
+use crate::revisit_queue::RevisitQueue;
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
 use pulleystair::Outcome;
@@ -61,10 +62,22 @@
     pub(crate) is_identified: bool,
     /// Plays whose set-up on this connection has no answer yet.
     pub(crate) pending_set_ups: Vec<u64>,
+    /// What was handled of this connection in the last turn in which anything was.
+    pub(crate) handled_in_turn: HandledInTurn,
     /// End notices that were queued recently. If the connection ends, the viewer may not have received them.
     pub(crate) recent_notices: Vec<EndNotice>,
 }
 
+/// How much of a connection's input was handled in a turn of the event loop.
+#[derive(Default)]
+pub(crate) struct HandledInTurn {
+    /// The number of the turn.
+    pub(crate) turn: u64,
+    /// How many messages, and their bytes.
+    pub(crate) messages: usize,
+    pub(crate) bytes: usize,
+}
+
 /// The notice to a viewer that its session has ended.
 #[derive(Clone, Copy)]
 pub(crate) struct EndNotice {
@@ -220,7 +233,9 @@
     /// Sessions handed over at servers that the list does not name.
     pub(crate) unlisted_hand_overs: UnlistedHandOvers,
     /// Connections to be handled again in the next turn: they may have input left, or are closed.
-    pub(crate) revisit_queue: VecDeque<ConnectionId>,
+    pub(crate) revisit_queue: RevisitQueue,
+    /// The number of the present turn of the event loop.
+    pub(crate) turn: u64,
     /// Viewers' connections in the order in which they were accepted.
     pub(crate) viewer_connections: VecDeque<ConnectionId>,
     /// End notices that found no connection to their viewer.
@@ -256,7 +271,8 @@
             pending_teardowns: VecDeque::new(),
             ended_sessions: EndedSessions::default(),
             unlisted_hand_overs: UnlistedHandOvers::default(),
-            revisit_queue: VecDeque::new(),
+            revisit_queue: RevisitQueue::default(),
+            turn: 0,
             viewer_connections: VecDeque::new(),
             pending_notices: VecDeque::new(),
             pending_set_up_count: 0,
@@ -305,7 +321,7 @@
     pub(crate) fn is_peer_open(&mut self, connection_id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(connection_id) else { return false };
         if connection.read(MAX_INPUT_BYTES) || connection.has_ended {
-            self.revisit_queue.push_back(connection_id);
+            self.revisit_queue.push(connection_id);
         }
         self.connections.get_mut(connection_id).is_some_and(|connection| !connection.has_ended)
     }
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -13,6 +13,8 @@
 /// pending. Both in ms.
 const MAX_STOP_TIME_LIMIT_MS: f64 = 3_000.0;
 const STOP_MARGIN_MS: f64 = 600.0;
+/// How many turns' worth of a connection's input is handled at the deadline.
+const MAX_TURNS_AT_DEADLINE: usize = 1_000;
 
 impl Node {
     /// Starts the shutdown. No new connections are accepted once the listener is closed. A second signal
@@ -74,7 +76,17 @@
 
     /// Answers everything that is pending, because the deadline has come, and ends the loop.
     pub(crate) fn expire_pending_and_halt(&mut self) {
-        self.drain_input_and_check_done();
+        for _ in 0..MAX_TURNS_AT_DEADLINE {
+            self.state.turn += 1;
+            let connections_left = self.state.revisit_queue.len();
+            for _ in 0..connections_left {
+                self.state.revisit_queue.pop();
+            }
+            self.drain_input_and_check_done();
+            if self.state.revisit_queue.is_empty() {
+                break;
+            }
+        }
         self.dispatcher.expire_unanswered(self.state.now(), &mut self.state);
         self.report_ends();
         self.is_halted = true;
--- a/crates/node/src/to_viewers.rs
+++ b/crates/node/src/to_viewers.rs
@@ -19,7 +19,7 @@
         connection.flush();
         if connection.has_ended || connection.unsent_bytes() > MAX_UNREAD_BYTES {
             connection.has_ended = true;
-            self.revisit_queue.push_back(connection_id);
+            self.revisit_queue.push(connection_id);
         }
     }
 
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -4,167 +4,53 @@
 use crate::hand_overs::HandOver;
 use crate::node::Node;
 use crate::set_up::new_session;
-use crate::shares::{RETRY_DELAY_MS, is_resource_exhaustion};
-use crate::state::{
-    CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, MAX_INPUT_BYTES, Role, Timer, ViewerConnection,
-};
+use crate::state::{CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, HandledInTurn, MAX_INPUT_BYTES, NodeState};
 use pulleystair_connections::ConnectionId;
 use pulleystair_viewer_protocol::{Message, code, kind};
-use std::collections::HashSet;
 use tracing::debug;
 
-/// Maximum number of reads of one connection in a turn.
-const MAX_VIEWER_READS_PER_TURN: usize = 64;
-/// A connection that is not identified as a viewer's after this time is closed, ms. It must be closed within
-/// 3 s.
-const UNIDENTIFIED_TIMEOUT_MS: f64 = 2_400.0;
+/// Maximum number of messages of one connection that are handled in a turn, and of their bytes where there are
+/// several, so that a connection that brings much delays the others by little.
+const MAX_MESSAGES_PER_TURN: usize = 64;
+const MAX_BYTES_PER_TURN: usize = 16 << 10;
 /// Maximum number of set-ups that may be pending on one connection, and on all connections together.
 const MAX_SET_UPS_PER_VIEWER_CONNECTION: usize = 48;
 const MAX_PENDING_SET_UPS: usize = 1_024;
-/// How many connections are accepted beyond the limit, only to reject set-ups on them. They use the reserved
-/// descriptors.
-const EXTRA_CONNECTIONS: usize = 8;
-/// An end notice that was sent less than this time before the viewer's close is seen may have crossed the
-/// close on the network, ms. The platform states this time for a set-up that crosses a close; it is used for
-/// notices too.
-const CLOSE_CROSSING_MS: f64 = 50.0;
 
-impl Node {
-    /// Accepts all waiting connections. Returns false if there was no descriptor for some of them.
-    pub(crate) fn accept_viewers(&mut self) -> bool {
-        let Some(listener) = self.state.listener.as_ref().map(|registered| registered.1.clone()) else {
-            return true;
-        };
-        loop {
-            let (stream, address) = match listener.accept() {
-                Ok(accepted) => accepted,
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => continue,
-                // No descriptor is left for the waiting connection, so another one is closed.
-                Err(e) if is_resource_exhaustion(&e) && self.evict_viewer_connection() => continue,
-                Err(e) if is_resource_exhaustion(&e) => {
-                    self.pause_accepting();
-                    return false;
-                }
-                Err(_) => return true,
-            };
-            // If set-ups are pending on all connections, a few more are accepted in order to reject their
-            // set-ups.
-            let max_connections = self.state.shares.viewers;
-            if self.state.viewer_connections.len() >= max_connections
-                && !self.evict_viewer_connection()
-                && self.state.viewer_connections.len() >= max_connections + EXTRA_CONNECTIONS
-            {
-                drop(stream);
-                continue;
-            }
-            let now = self.state.now();
-            let viewer = ViewerConnection {
-                ip: Some(address.ip()),
-                accepted_at: now,
-                is_identified: false,
-                pending_set_ups: Vec::new(),
-                recent_notices: Vec::new(),
-            };
-            let Ok(connection_id) = self.state.connections.open(stream, None, Role::Viewer(viewer)) else {
-                continue;
-            };
-            self.state.viewer_connections.push_back(connection_id);
-            debug!(target: "viewer", key = connection_id, viewers = self.state.viewer_connections.len(), "viewer connected");
-            if let Some(connection) = self.state.connections.get_mut(connection_id) {
-                connection.deadline = now + UNIDENTIFIED_TIMEOUT_MS;
-            }
-            self.state.schedule(now + UNIDENTIFIED_TIMEOUT_MS, Timer::ConnectionDeadline(connection_id));
-        }
-    }
+/// How much of the input of a connection was handled: how many bytes, and whether that is all messages that it
+/// holds.
+struct Handled {
+    used: usize,
+    is_complete: bool,
+}
 
-    /// Pauses accepting for `RETRY_DELAY_MS`. Without a descriptor for the waiting connections, the listener
-    /// would be reported as ready again and again.
-    fn pause_accepting(&mut self) {
-        if let Some((registration, _)) = &self.state.listener {
-            let _ = self.state.loop_handle.disable(registration);
-            let now = self.state.now();
-            self.state.schedule(now + RETRY_DELAY_MS, Timer::ResumeAccepting);
-        }
-    }
+/// The input of a connection is of no use, so the connection is to be closed.
+struct Unusable;
 
-    /// Accepts connections again after a pause.
-    pub(crate) fn resume_accepting(&mut self) {
-        if let Some((registration, _)) = &self.state.listener {
-            let _ = self.state.loop_handle.enable(registration);
+impl NodeState {
+    /// Counts a message of a viewer's connection, of so many bytes, that is to be handled in this turn. Returns
+    /// false if the connection has had its share.
+    fn may_handle_message(&mut self, connection_id: ConnectionId, length: usize) -> bool {
+        let turn = self.turn;
+        let Some(viewer) = self.viewer_connection(connection_id) else { return true };
+        let handled = &mut viewer.handled_in_turn;
+        if handled.turn != turn {
+            *handled = HandledInTurn { turn, messages: 0, bytes: 0 };
         }
-    }
-
-    /// Closes one viewer's connection without pending set-ups to free its descriptor, and returns whether
-    /// there was one. The oldest connection that is not identified as a viewer's is closed first, then the
-    /// oldest without a playing session. Connections of playing sessions come last, because their viewers are
-    /// notified of the end there. Input that has arrived by now is handled first.
-    pub(crate) fn evict_viewer_connection(&mut self) -> bool {
-        let state = &mut self.state;
-        let playing_on: HashSet<ConnectionId> =
-            state.sessions.values().filter(|s| s.is_playing).map(|s| s.viewer_connection_id).collect();
-        let mut idle: Vec<(bool, bool, ConnectionId)> = Vec::new();
-        for connection_id in state.viewer_connections.clone() {
-            if let Some(viewer) =
-                state.viewer_connection(connection_id).filter(|viewer| viewer.pending_set_ups.is_empty())
-            {
-                idle.push((viewer.is_identified, playing_on.contains(&connection_id), connection_id));
-            }
-        }
-        // The sort is stable, so equal connections stay in the order in which they were accepted.
-        idle.sort_by_key(|entry| (entry.0, entry.1));
-        for (_, _, connection_id) in idle {
-            self.handle_viewer_connection(connection_id);
-            if self
-                .state
-                .viewer_connection(connection_id)
-                .is_none_or(|viewer| viewer.pending_set_ups.is_empty())
-            {
-                self.state.stats.evicted += 1;
-                self.close_viewer_connection(connection_id);
-                return true;
-            }
+        let is_first = handled.messages == 0;
+        let has_room =
+            handled.messages < MAX_MESSAGES_PER_TURN && handled.bytes + length <= MAX_BYTES_PER_TURN;
+        if is_first || has_room {
+            handled.messages += 1;
+            handled.bytes += length;
         }
-        false
-    }
-
-    /// Closes a viewer's connection. Its pending set-ups are abandoned, and end notices that the viewer may
-    /// not have received are sent again.
-    pub(crate) fn close_viewer_connection(&mut self, connection_id: ConnectionId) {
-        self.abandon_pending_set_ups(connection_id);
-        let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
-        let unread = connection.is_broken() || connection.unsent_bytes() > 0;
-        let Some(Role::Viewer(viewer)) = self.state.connections.close(connection_id) else { return };
-        self.state.viewer_connections.retain(|id| *id != connection_id);
-        debug!(target: "viewer", key = connection_id, proven = viewer.is_identified, unread, viewers = self.state.viewer_connections.len(), "viewer connection closed");
-        for notice in viewer.recent_notices.into_iter().filter(|_| unread) {
-            self.state.send_end_notice(notice, connection_id);
-        }
-    }
-
-    /// Handles a connection that its viewer has closed. A recent end notice may have crossed the close on the
-    /// network. In that case the viewer's machine resets the connection when the notice arrives, so the
-    /// connection is kept open for `CLOSE_CROSSING_MS` after the notice, until the reset has been seen.
-    fn on_viewer_closed(&mut self, connection_id: ConnectionId) {
-        let now = self.state.now();
-        let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
-        let broken = connection.is_broken();
-        let Role::Viewer(viewer) = &connection.role else { return };
-        let close_at = viewer
-            .recent_notices
-            .iter()
-            .map(|notice| notice.queued_at + CLOSE_CROSSING_MS)
-            .fold(now, f64::max);
-        if broken || close_at <= now {
-            return self.close_viewer_connection(connection_id);
-        }
-        connection.deadline = close_at;
-        self.state.schedule(close_at, Timer::ConnectionDeadline(connection_id));
-        self.abandon_pending_set_ups(connection_id);
+        is_first || has_room
     }
+}
 
+impl Node {
     /// Abandons all set-ups that are pending on a viewer's connection.
-    fn abandon_pending_set_ups(&mut self, connection_id: ConnectionId) {
+    pub(crate) fn abandon_pending_set_ups(&mut self, connection_id: ConnectionId) {
         let abandoned = self
             .state
             .viewer_connection(connection_id)
@@ -188,22 +74,31 @@
         }
     }
 
-    /// Handles the input of a viewer's connection. Returns false if input may be left for the next turn.
+    /// Handles the input of a viewer's connection. Returns false if input may be left for the next turn, because
+    /// the connection has had its share of this one.
     pub(crate) fn handle_viewer_connection(&mut self, connection_id: ConnectionId) -> bool {
-        for _ in 0..MAX_VIEWER_READS_PER_TURN {
+        loop {
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
             connection.flush();
             let has_read = connection.read(MAX_INPUT_BYTES);
             let is_closed = connection.has_ended;
             if !connection.input.is_empty() {
                 let input = std::mem::take(&mut connection.input);
-                let used = self.handle_viewer_messages(connection_id, &input);
+                let handled = self.handle_viewer_messages(connection_id, &input);
                 let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
-                let Some(used) = used else {
-                    self.close_viewer_connection(connection_id);
-                    return true;
-                };
-                connection.restore_input(input, used);
+                match handled {
+                    Ok(Handled { used, is_complete }) => {
+                        connection.restore_input(input, used);
+                        if !is_complete {
+                            self.state.revisit_queue.push(connection_id);
+                            return false;
+                        }
+                    }
+                    Err(Unusable) => {
+                        self.close_viewer_connection(connection_id);
+                        return true;
+                    }
+                }
             }
             if is_closed {
                 self.on_viewer_closed(connection_id);
@@ -213,26 +108,31 @@
                 return true;
             }
         }
-        self.state.revisit_queue.push_back(connection_id);
-        false
     }
 
-    /// Handles the complete messages of `input`. Returns how many bytes they take, or `None` if the
-    /// connection is to be closed.
-    fn handle_viewer_messages(&mut self, connection_id: ConnectionId, input: &[u8]) -> Option<usize> {
+    /// Handles the complete messages of `input`, as many as the connection may have handled in this turn. The
+    /// error says that the connection is to be closed.
+    fn handle_viewer_messages(
+        &mut self,
+        connection_id: ConnectionId,
+        input: &[u8],
+    ) -> Result<Handled, Unusable> {
         let mut used = 0;
         loop {
             match Message::parse(&input[used..]) {
-                Ok(None) => return Some(used),
+                Ok(None) => return Ok(Handled { used, is_complete: true }),
                 Err(e) => {
                     debug!(target: "viewer", "connection closed: message cannot be parsed: {e}");
                     self.state.stats.unusable += 1;
-                    return None;
+                    return Err(Unusable);
                 }
                 Ok(Some((message, n))) => {
+                    if !self.state.may_handle_message(connection_id, n) {
+                        return Ok(Handled { used, is_complete: false });
+                    }
                     used += n;
                     if !self.handle_viewer_message(connection_id, &message) {
-                        return None;
+                        return Err(Unusable);
                     }
                     self.report_ends();
                 }
@@ -351,9 +251,9 @@
             viewer.pending_set_ups.push(play);
         }
         self.state.pending_set_up_count += 1;
+        self.mark_identified(connection_id);
         let request = set_up.request;
         self.state.sessions.insert(play, new_session(connection_id, viewer_ip, set_up));
-        self.mark_identified(connection_id);
         self.dispatcher.add_play(now, play, &request, &mut self.state);
         true
     }
--- a/src/logic/room.rs
+++ b/src/logic/room.rs
@@ -14,6 +14,8 @@
 const RESERVE_FACTOR: f64 = 0.3;
 /// A measurement older than this is to be refreshed by a probe.
 const MAX_MEASUREMENT_AGE_MS: f64 = 6_000.0;
+/// Changes by this front within this time count as one, so that a flood of set-ups leaves few of them.
+const CHANGE_RESOLUTION_MS: f64 = 1.0;
 /// Measurements that arrive within this time count as one.
 const MEASUREMENT_DISTANCE_MS: f64 = 500.0;
 
@@ -34,8 +36,10 @@
     pub(super) measured_at: f64,
     /// When the first of the measurements that count as the latest one arrived.
     pub(super) received_at: f64,
-    /// This front's changes after `measured_at`: time and kB.
+    /// This front's changes after `measured_at`: time and kB, earliest first.
     pub(super) own_changes: VecDeque<(f64, f64)>,
+    /// The sum of `own_changes`, kB. It is asked for many times a play, and there may be many changes.
+    pub(super) own_change_kb: f64,
     /// Estimated number of fronts with plays on the link, this one included.
     pub(super) front_count: f64,
     /// Estimated reduction by the other fronts that no measurement shows yet: the time of the report that they acted on,
@@ -53,20 +57,27 @@
             (self.previous_kb, self.received_at) = (self.demand_kb().unwrap_or(0.0), now);
         }
         (self.measured_kb, self.measured_at) = (Some(utilization.min(100.0) * self.capacity_kb), measured_at);
-        self.own_changes.retain(|c| c.0 > measured_at);
+        while self.own_changes.front().is_some_and(|change| change.0 <= measured_at) {
+            self.own_changes.pop_front();
+        }
+        self.own_change_kb = self.own_changes.iter().map(|change| change.1).sum();
         if self.others_cut.0 <= measured_at {
             self.others_cut.1 = 0.0;
         }
     }
 
-    /// Adds a change by this front. Changes up to `settled_at` are merged into one: every measurement still to come describes
-    /// that time or a later one, so they need not be told apart.
+    /// Adds a change by this front. Changes within [`CHANGE_RESOLUTION_MS`] count as one. Changes up to `settled_at` are merged
+    /// into one: every measurement still to come describes that time or a later one, so they need not be told apart.
     pub(super) fn record_own_change(&mut self, now: f64, kb: f64, settled_at: f64) {
         while self.own_changes.len() > 1 && self.own_changes[1].0 <= settled_at {
             let oldest_kb = self.own_changes.pop_front().map_or(0.0, |c| c.1);
             self.own_changes[0].1 += oldest_kb;
         }
-        self.own_changes.push_back((now, kb));
+        match self.own_changes.back_mut() {
+            Some(latest) if now - latest.0 < CHANGE_RESOLUTION_MS => latest.1 += kb,
+            _ => self.own_changes.push_back((now, kb)),
+        }
+        self.own_change_kb += kb;
         self.previous_kb += kb;
     }
 
@@ -93,7 +104,7 @@
 
     /// What this front has changed since the latest measurement.
     pub(super) fn own_change_kb(&self) -> f64 {
-        self.own_changes.iter().map(|c| c.1).sum()
+        self.own_change_kb
     }
 
     /// Present demand over capacity; 0 before the first measurement.
