--- a/crates/edge/tests/node_overload.rs
+++ b/crates/edge/tests/node_overload.rs
@@ -130,6 +130,21 @@
     assert_served(&fixture, 5);
 }
 
+/// The only attempt of a set-up may take as long as its viewer waits. Guards against timers that stay until then although the set-up
+/// was taken back: memory grew without end.
+#[test]
+fn set_ups_taken_back_leave_no_timers() {
+    let fixture = start_node(&[(r#""attemptsCap":4"#, r#""attemptsCap":1"#)]);
+    let mut viewer = fixture.node.connect_viewer();
+    let bytes: Vec<u8> = (1..=10_000).flat_map(|play| set_up_taken_back(play, "600000")).collect();
+    viewer.send(&bytes);
+    viewer.expect_no_message();
+    let line = fixture.node.wait_for_log("sums=");
+    let timers: usize =
+        line.rsplit_once("clocks=").expect("the number of timers").1.parse().expect("a number");
+    assert!(timers < 100, "{timers} timers");
+}
+
 /// Hundreds of viewers each send messages of thousands of empty parameters. Guards against input that costs much for its length.
 #[test]
 fn messages_of_many_short_parameters_delay_no_other_viewer() {
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -63,6 +63,9 @@
     /// Sets a timer of the dispatcher, which fires after `delay` ms.
     fn set_timer(&mut self, timer: u32, delay: f64) {
         let due_at = self.now() + delay;
+        if let Some(outdated) = self.dispatcher_timers.insert(timer, due_at) {
+            self.cancel_timer(outdated, Timer::Dispatcher(timer));
+        }
         self.schedule(due_at, Timer::Dispatcher(timer));
     }
 
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -7,7 +7,7 @@
 //! all of it is read. Nothing else runs between that read and the queueing of the set-up.
 
 use crate::node::Node;
-use crate::state::{Attempt, AttemptEnd};
+use crate::state::{Attempt, AttemptEnd, Timer};
 use pulleystair::{LoadMetric, Outcome, Standing};
 use pulleystair_connections::ConnectionId;
 use tracing::debug;
@@ -134,8 +134,10 @@
         {
             let connection_id = session.server_connection_id.take();
             session.server_number = None;
+            let (deadline, number) = (session.attempt_deadline, session.attempts);
             session.earlier_connections.extend(connection_id);
             let waited = now - session.phase_started_at;
+            self.state.cancel_timer(deadline, Timer::AttemptDeadline(play, number));
             if let Some(connection_id) = connection_id {
                 self.state.remove_pending_set_up(connection_id, play);
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -130,7 +130,10 @@
             let now = self.state.now();
             let Some((_, timer)) = self.state.timers.pop_due(now) else { return };
             match timer {
-                Timer::Dispatcher(timer) => self.dispatcher.on_timer(now, timer, &mut self.state),
+                Timer::Dispatcher(timer) => {
+                    self.state.dispatcher_timers.remove(&timer);
+                    self.dispatcher.on_timer(now, timer, &mut self.state);
+                }
                 Timer::AttemptDeadline(play, number) => self.on_attempt_deadline(play, number),
                 Timer::ConnectionDeadline(connection_id) => self.on_connection_deadline(now, connection_id),
                 Timer::EndNotice(play) => self.state.send_notice_elsewhere(play),
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -3,7 +3,7 @@
 use crate::ended_sessions::EndReport;
 use crate::node::Node;
 use crate::state::{
-    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_INPUT_BYTES, Role,
+    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_INPUT_BYTES, Role, Timer,
 };
 use pulleystair::{LoadMetric, Outcome};
 use pulleystair_connections::ConnectionId;
@@ -295,6 +295,8 @@
         session.description = Vec::new();
         session.earlier_connections = Vec::new();
         let viewer_connection_id = session.viewer_connection_id;
+        let (deadline, number) = (session.attempt_deadline, session.attempts);
+        self.state.cancel_timer(deadline, Timer::AttemptDeadline(play, number));
         self.state.stats.played += 1;
         self.state.mark_set_up_answered(viewer_connection_id, play);
         self.state.write_to_viewer(viewer_connection_id, &bytes);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -221,6 +221,8 @@
     pub(crate) server_numbers: HashMap<String, u32>,
     pub(crate) next_server_number: u32,
     pub(crate) timers: Timers<Timer>,
+    /// When each timer of the dispatcher is due, Unix ms. Only the one that was set last counts.
+    pub(crate) dispatcher_timers: HashMap<u32, f64>,
     /// Ends of attempts, and withdrawals, that are still to be reported to the dispatcher.
     pub(crate) unreported_ends: VecDeque<AttemptEnd>,
     /// Attempts that the dispatcher requested, and those of them whose viewer's connection was read only in
@@ -265,6 +267,7 @@
             server_numbers: HashMap::new(),
             next_server_number: 0,
             timers: Timers::new(unix_ms),
+            dispatcher_timers: HashMap::new(),
             unreported_ends: VecDeque::new(),
             outgoing_attempts: VecDeque::new(),
             held_attempts: Vec::new(),
@@ -291,6 +294,11 @@
         self.timers.schedule(due_at, timer);
     }
 
+    /// Cancels a timer that was set for `due_at`, Unix ms.
+    pub(crate) fn cancel_timer(&mut self, due_at: f64, timer: Timer) {
+        self.timers.cancel(due_at, timer);
+    }
+
     /// How long the event loop may wait for events: until the next timer, or not at all if connections are to
     /// be handled again.
     pub(crate) fn dispatch_timeout(&self) -> Option<Duration> {
--- a/crates/node/src/viewer_connections.rs
+++ b/crates/node/src/viewer_connections.rs
@@ -129,7 +129,9 @@
         self.abandon_pending_set_ups(connection_id);
         let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
         let unread = connection.is_broken() || connection.unsent_bytes() > 0;
+        let deadline = connection.deadline;
         let Some(Role::Viewer(viewer)) = self.state.connections.close(connection_id) else { return };
+        self.state.cancel_timer(deadline, Timer::ConnectionDeadline(connection_id));
         self.state.viewer_connections.retain(|id| *id != connection_id);
         debug!(target: "viewer", key = connection_id, proven = viewer.is_identified, unread, viewers = self.state.viewer_connections.len(), "viewer connection closed");
         for notice in viewer.recent_notices.into_iter().filter(|_| unread) {
