What waits for a media server that reads nothing is bounded

Cause: each TEARDOWN that a connection does not take was queued without a bound, with a record in unsent_teardowns, through which each further write walked (write_to_server). Ruled out: sessions and ended sessions; with servers that read, memory stayed at 23 MB.

Change: 1,024 TEARDOWNs wait on a connection, further ones with those that find no connection, 4,096 in all; beyond that they are dropped and counted.

--- a/crates/edge/tests/node_overload.rs
+++ b/crates/edge/tests/node_overload.rs
@@ -3,7 +3,9 @@
 mod fake_peers;
 mod node_fixture;
 
-use fake_peers::{DESCRIPTION, MediaServer, Viewer, encode_message, rtsp_response, set_up_message};
+use fake_peers::{
+    DESCRIPTION, MediaServer, Viewer, encode_message, hand_over_message, rtsp_response, set_up_message,
+};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, SET_UP, start_with_replacements, start_with_servers};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -145,6 +147,25 @@
     assert!(timers < 100, "{timers} timers");
 }
 
+/// Viewers hand sessions over at a server that reads nothing, and release them. Guards against output and TEARDOWNs towards a server
+/// that grow without end.
+#[test]
+fn teardowns_for_a_server_that_reads_nothing_are_limited() {
+    let fixture = start_node(&[SMALL_MEMORY]);
+    let mut viewer = fixture.node.connect_viewer();
+    discard_input(&viewer);
+    for first in (1..200_000_u64).step_by(1_000) {
+        let hand_overs = (first << 20..).take(1_000).flat_map(|play| {
+            let mut bytes = hand_over_message(play, "s-0000000a");
+            bytes.extend(encode_message(RELEASE, play, &[(45, &[16])]));
+            bytes
+        });
+        viewer.send(&hand_overs.collect::<Vec<u8>>());
+    }
+    assert_served(&fixture, 1);
+    assert!(fixture.node.memory_kb() < MEMORY_LIMIT_KB, "{} kB", fixture.node.memory_kb());
+}
+
 /// Hundreds of viewers each send messages of thousands of empty parameters. Guards against input that costs much for its length.
 #[test]
 fn messages_of_many_short_parameters_delay_no_other_viewer() {
--- a/crates/node/src/media_server.rs
+++ b/crates/node/src/media_server.rs
@@ -4,8 +4,12 @@
 use crate::state::{NodeState, Role};
 use pulleystair::{Listing, Standing};
 use pulleystair_connections::ConnectionId;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+/// Maximum number of TEARDOWNs that wait on one connection to be sent.
+const MAX_UNSENT_TEARDOWNS: usize = 1_024;
+
 /// A media server that a list has named.
 pub(crate) struct Server {
     pub(crate) id: String,
@@ -46,8 +50,9 @@
     pub(crate) server_number: u32,
     /// Set-ups on this connection that have no response yet.
     pub(crate) pending_set_ups: Vec<PendingSetUp>,
-    /// TEARDOWNs that were queued on this connection and of which no byte was sent yet.
-    pub(crate) unsent_teardowns: Vec<Teardown>,
+    /// TEARDOWNs that were queued on this connection and of which no byte was sent yet, in the order of their
+    /// offsets; at most [`MAX_UNSENT_TEARDOWNS`].
+    pub(crate) unsent_teardowns: VecDeque<Teardown>,
     /// When the connection was established, Unix ms.
     pub(crate) established_at: Option<f64>,
     /// When something last arrived on the connection, and when something last arrived or was queued, Unix ms.
@@ -62,11 +67,10 @@
 
 impl ServerConnection {
     pub(crate) fn new(server_number: u32, now: f64) -> ServerConnection {
-        let (pending_set_ups, unsent_teardowns) = (Vec::new(), Vec::new());
         ServerConnection {
             server_number,
-            pending_set_ups,
-            unsent_teardowns,
+            pending_set_ups: Vec::new(),
+            unsent_teardowns: VecDeque::new(),
             established_at: None,
             last_heard_at: now,
             last_active_at: now,
@@ -75,6 +79,18 @@
         }
     }
 
+    /// Whether a further TEARDOWN may be queued. A server that leaves so many unread may never read them.
+    pub(crate) fn has_room_for_teardown(&self) -> bool {
+        self.unsent_teardowns.len() < MAX_UNSENT_TEARDOWNS
+    }
+
+    /// Forgets the TEARDOWNs that were sent, at least in part.
+    pub(crate) fn forget_sent_teardowns(&mut self, bytes_sent: u64) {
+        while self.unsent_teardowns.front().is_some_and(|teardown| teardown.offset < bytes_sent) {
+            self.unsent_teardowns.pop_front();
+        }
+    }
+
     /// Whether the connection is established.
     pub(crate) fn is_established(&self) -> bool {
         self.established_at.is_some()
--- a/crates/node/src/server_connections.rs
+++ b/crates/node/src/server_connections.rs
@@ -213,7 +213,7 @@
         let (is_closed, bytes_sent) = (connection.has_ended, connection.bytes_sent());
         if let Role::Server(server_connection) = &mut connection.role {
             server_connection.last_active_at = now;
-            server_connection.unsent_teardowns.retain(|teardown| teardown.offset >= bytes_sent);
+            server_connection.forget_sent_teardowns(bytes_sent);
         }
         if is_closed {
             self.revisit_queue.push(connection_id);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -200,6 +200,8 @@
     pub(crate) evicted: u64,
     /// Rung changes to be sent to servers.
     pub(crate) steps: u64,
+    /// TEARDOWNs that were dropped, because too many waited for their servers.
+    pub(crate) dropped_teardowns: u64,
 }
 
 /// The state of a node beside the dispatcher.
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -7,6 +7,7 @@
 };
 use pulleystair_connections::ConnectionId;
 use pulleystair_rtsp as rtsp;
+use std::collections::HashSet;
 
 impl NodeState {
     /// Notifies a server with a TEARDOWN that a session at it has ended: on the `preferred` connection, on
@@ -22,13 +23,16 @@
         self.send_teardown(preferred, Teardown { server_number, play, cause, created_at, offset: 0 });
     }
 
-    /// Sends a TEARDOWN, or keeps it if there is no connection to its server.
-    fn send_teardown(&mut self, preferred: Option<ConnectionId>, mut teardown: Teardown) {
-        let Some(connection_id) = self.preferred_or_any_connection(teardown.server_number, preferred) else {
-            if self.pending_teardowns.len() < MAX_NOTICES {
-                self.pending_teardowns.push_back(teardown);
-            }
-            return;
+    /// Sends a TEARDOWN, or keeps it if there is no connection to its server with room for it. Returns whether
+    /// it was sent.
+    fn send_teardown(&mut self, preferred: Option<ConnectionId>, mut teardown: Teardown) -> bool {
+        let connection_id = self.preferred_or_any_connection(teardown.server_number, preferred);
+        let has_room = connection_id
+            .and_then(|connection_id| self.server_connection(connection_id))
+            .is_some_and(|server_connection| server_connection.has_room_for_teardown());
+        let Some(connection_id) = connection_id.filter(|_| has_room) else {
+            self.keep_teardown(teardown);
+            return false;
         };
         let reason = format!("cause={}", teardown.cause);
         let bytes = rtsp::encode_request(
@@ -42,20 +46,38 @@
         teardown.offset =
             self.connections.get_mut(connection_id).map_or(0, |connection| connection.bytes_queued());
         if let Some(server_connection) = self.server_connection(connection_id) {
-            server_connection.unsent_teardowns.push(teardown);
+            server_connection.unsent_teardowns.push_back(teardown);
         }
         self.write_to_server(connection_id, &bytes);
+        true
     }
 
-    /// Tries to send the pending TEARDOWNs. A TEARDOWN is dropped if its server is gone or
-    /// `NOTICE_TTL_MS` has passed, because by then the viewer must have learnt of the end in another way.
+    /// Keeps a TEARDOWN to be sent later. It is dropped if `MAX_NOTICES` are kept.
+    fn keep_teardown(&mut self, teardown: Teardown) {
+        if self.pending_teardowns.len() < MAX_NOTICES {
+            self.pending_teardowns.push_back(teardown);
+        } else {
+            self.stats.dropped_teardowns += 1;
+        }
+    }
+
+    /// Tries to send the pending TEARDOWNs, until one cannot be sent to its server. A TEARDOWN is dropped if its
+    /// server is gone or `NOTICE_TTL_MS` has passed, because by then the viewer must have learnt of the end in
+    /// another way.
     pub(crate) fn retry_pending_teardowns(&mut self, now: f64) {
+        let mut blocked_servers: HashSet<u32> = HashSet::new();
         for teardown in std::mem::take(&mut self.pending_teardowns) {
             let is_reachable =
                 self.servers.get(&teardown.server_number).is_some_and(|s| s.dial_address().is_some())
                     || self.successor(teardown.server_number).is_some();
-            if is_reachable && now - teardown.created_at < NOTICE_TTL_MS {
-                self.send_teardown(None, teardown);
+            if !is_reachable || now - teardown.created_at >= NOTICE_TTL_MS {
+                continue;
+            }
+            let server_number = teardown.server_number;
+            if blocked_servers.contains(&server_number) {
+                self.keep_teardown(teardown);
+            } else if !self.send_teardown(None, teardown) {
+                blocked_servers.insert(server_number);
             }
         }
     }
