A connection whose input buffer is full is read on after its messages are handled

Seen: hand_overs_at_listed_servers_are_limited, in the whole suite, stood for 80 s and failed; the node slept in epoll with input unread.

Cause: since a turn handles a share of a connection's messages, it may leave a full buffer. The next turn reads nothing into that, handles a message, and took "nothing read" for "nothing left"; the socket reports new input only once more arrives.

Change: the connection is read again as long as its turn has used any input.

Measured: that test passes again in 10 s; it fails without the change.

--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -80,7 +80,7 @@
         loop {
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return true };
             connection.flush();
-            let has_read = connection.read(MAX_INPUT_BYTES);
+            let mut may_have_more = connection.read(MAX_VIEWER_INPUT_BYTES);
             let is_closed = connection.has_ended;
             if !connection.input.is_empty() {
                 let input = std::mem::take(&mut connection.input);
@@ -89,6 +89,8 @@
                 match handled {
                     Ok(Handled { used, is_complete }) => {
                         connection.restore_input(input, used);
+                        // Input that was left by an earlier turn may have left no room to read more.
+                        may_have_more |= used > 0;
                         if !is_complete {
                             self.state.revisit_queue.push(connection_id);
                             return false;
@@ -104,7 +106,7 @@
                 self.on_viewer_closed(connection_id);
                 return true;
             }
-            if !has_read {
+            if !may_have_more {
                 return true;
             }
         }
