What is held for viewers has bounds that follow from the memory limit

Not seen, with 640 clients: half a request alone (17.1 MB), written slowly (10.3 and 21.8 MB), thousands of short fields (9.9 MB).

Cause: bounds by count alone: 1,024 open set-ups with their descriptions and a copy of each that waits to be sent, 32 KiB of input and 256 KiB of output a connection, buffers that kept their size, sessions without a bound.

Change: a sixteenth of limits.memory_mb for descriptions, an eighth for output that is left unread, divided by the connected viewers, 2 KiB for each session. A viewer's buffer holds one message, and buffers give memory back.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -30,6 +30,8 @@
 
 /// Maximum number of bytes that are read from a socket at a time.
 const READ_CHUNK_BYTES: usize = 16 << 10;
+/// Capacity that an empty buffer keeps, bytes.
+const MAX_SPARE_BYTES: usize = 4 << 10;
 /// Maximum number of bytes of plaintext that are passed to the TLS session at a time.
 const TLS_CHUNK_BYTES: usize = 64 << 10;
 
@@ -136,6 +138,9 @@
     pub fn restore_input(&mut self, mut input: Vec<u8>, used: usize) {
         input.drain(..used);
         input.append(&mut self.input);
+        if input.capacity() > MAX_SPARE_BYTES + 2 * input.len() {
+            input.shrink_to_fit();
+        }
         self.input = input;
     }
 
@@ -177,14 +182,20 @@
                 }
             }
         }
-        if self.output_sent == self.output.len() {
-            self.output.clear();
-            self.output_sent = 0;
-        } else if self.output_sent > 1 << 20 {
+        self.release_sent_output();
+        has_written
+    }
+
+    /// Gives back the memory of output that was sent, once that is as much as what is left, or all.
+    fn release_sent_output(&mut self) {
+        let unsent = self.output.len() - self.output_sent;
+        if self.output_sent >= unsent {
             self.output.drain(..self.output_sent);
             self.output_sent = 0;
         }
-        has_written
+        if self.output.capacity() > MAX_SPARE_BYTES + 4 * self.output.len() {
+            self.output.shrink_to_fit();
+        }
     }
 
     /// Whether the connection has failed (a reset, an I/O error or a TLS error), so that the peer may not
--- a/crates/edge/tests/node_overload.rs
+++ b/crates/edge/tests/node_overload.rs
@@ -17,8 +17,9 @@
 const MEMORY_LIMIT_KB: usize = 32 << 10;
 /// Replacement in the configuration: that limit.
 const SMALL_MEMORY: (&str, &str) = (r#""memory_mb":64"#, r#""memory_mb":32"#);
-/// Set-up parameter: only the second server holds the title.
+/// Set-up parameters: only the second server, or only the first one, holds the title.
 const TITLE_AT_SECOND: (u8, &str) = (18, "home:1;copies:1;top:1;viewer:00000000b4d65521");
+const TITLE_AT_FIRST: (u8, &str) = node_fixture::TITLE_AT_FIRST;
 
 /// Answers every set-up on a connection of the node with 200.
 fn serve_connection(mut stream: TcpStream) {
@@ -166,6 +167,24 @@
     assert!(fixture.node.memory_kb() < MEMORY_LIMIT_KB, "{} kB", fixture.node.memory_kb());
 }
 
+/// Hundreds of viewers each send set-ups of the greatest length for a server that reads nothing, and half of a further one. Guards
+/// against descriptions and input that together pass the limit of memory.
+#[test]
+fn large_set_ups_of_hundreds_of_viewers_stay_within_the_memory() {
+    let fixture = start_node(&[SMALL_MEMORY]);
+    let description = "x".repeat(16_000);
+    let mut viewers: Vec<Viewer> = (0..600).map(|_| fixture.node.connect_viewer()).collect();
+    for (i, viewer) in viewers.iter_mut().enumerate() {
+        let first = (i as u64 + 1) << 20;
+        let set_up = |play| set_up_message(play, &[TITLE_AT_FIRST, (48, &description)]);
+        let mut bytes: Vec<u8> = (first..first + 4).flat_map(set_up).collect();
+        bytes.extend_from_slice(&set_up(first + 4)[..16_000]);
+        viewer.send(&bytes);
+    }
+    assert_served(&fixture, 5);
+    assert!(fixture.node.memory_kb() < MEMORY_LIMIT_KB, "{} kB", fixture.node.memory_kb());
+}
+
 /// Hundreds of viewers each send messages of thousands of empty parameters. Guards against input that costs much for its length.
 #[test]
 fn messages_of_many_short_parameters_delay_no_other_viewer() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,11 +44,19 @@
     pub salt: u64,
 }
 
+/// The limit of memory where the file states none, MiB.
+fn default_memory_mb() -> f64 {
+    32.0
+}
+
 /// Limits of the process, as the file states them.
 #[derive(Debug, Deserialize)]
 pub struct Limits {
     /// How many file descriptors the process may use.
     pub sockets: usize,
+    /// How much memory the process may use, MiB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
 }
 
 /// The part of the settings that the node itself uses.
--- a/crates/node/src/hand_overs.rs
+++ b/crates/node/src/hand_overs.rs
@@ -10,7 +10,7 @@
 use crate::ended_sessions::EndReport;
 use crate::liveness::LOST_AFTER_MS;
 use crate::node::{Node, SERVER_CHECK_INTERVAL_MS};
-use crate::set_up::{SetUpRequest, new_session};
+use crate::set_up::SetUpRequest;
 use crate::state::{CAUSE_FAILED, CAUSE_WITHDRAWN, NodeState};
 use pulleystair_connections::ConnectionId;
 use std::collections::{BTreeMap, HashMap};
@@ -163,7 +163,7 @@
         let HandOver { play, viewer_connection_id, viewer_ip, set_up, .. } = hand_over;
         let now = self.state.now();
         let request = set_up.request;
-        let mut session = new_session(viewer_connection_id, viewer_ip, set_up);
+        let mut session = self.state.new_session(viewer_connection_id, viewer_ip, set_up);
         (session.server_number, session.is_playing, session.phase_started_at) =
             (Some(server_number), true, f64::NEG_INFINITY);
         self.state.sessions.insert(play, session);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 //! - `actions`: what the node does for the dispatcher
 //! - `to_viewers` and `to_servers`: what is sent to viewers and servers
 //! - `ended_sessions`: recently ended sessions
+//! - `held_bytes`: bytes held for many plays, and their sum
 //! - `revisit_queue`: connections to be handled again in the next turn
 //! - `shares`: the division of the file descriptors
 
@@ -28,6 +29,7 @@
 mod dns_client;
 mod ended_sessions;
 mod hand_overs;
+mod held_bytes;
 mod listing;
 mod liveness;
 mod lost_servers;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,9 +1,11 @@
 //! What media servers send: responses to set-ups, notes on playing sessions and their ends, load reports.
 
 use crate::ended_sessions::EndReport;
+use crate::held_bytes::HeldBytes;
 use crate::node::Node;
 use crate::state::{
-    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_INPUT_BYTES, Role, Timer,
+    CAUSE_ENDED, CAUSE_FAILED, CAUSE_WITHDRAWN, CSEQ_PROBE, CSEQ_TEARDOWN, MAX_SERVER_INPUT_BYTES, Role,
+    Timer,
 };
 use pulleystair::{LoadMetric, Outcome};
 use pulleystair_connections::ConnectionId;
@@ -59,7 +61,7 @@
             self.recheck_unsent_set_ups(connection_id);
             let Some(connection) = self.state.connections.get_mut(connection_id) else { return };
             connection.flush();
-            let has_read = connection.read(MAX_INPUT_BYTES);
+            let has_read = connection.read(MAX_SERVER_INPUT_BYTES);
             let is_closed = connection.has_ended;
             let Role::Server(server_connection) = &mut connection.role else { return };
             if has_read {
@@ -117,7 +119,7 @@
                 continue;
             }
             // The message waits for the bytes that show whether its length was right.
-            let may_be_cut = following.is_empty() && input.len() >= MAX_INPUT_BYTES;
+            let may_be_cut = following.is_empty() && input.len() >= MAX_SERVER_INPUT_BYTES;
             if may_be_cut || is_boundary_uncertain(following) {
                 return Some(used);
             }
@@ -292,7 +294,7 @@
         let Some(session) = self.state.sessions.get_mut(&play) else { return };
         session.is_playing = true;
         session.phase_started_at = now;
-        session.description = Vec::new();
+        session.description = HeldBytes::default();
         session.earlier_connections = Vec::new();
         let viewer_connection_id = session.viewer_connection_id;
         let (deadline, number) = (session.attempt_deadline, session.attempts);
--- a/crates/node/src/set_up.rs
+++ b/crates/node/src/set_up.rs
@@ -1,10 +1,11 @@
 //! Parses a viewer's set-up: what the viewer requests, or why the set-up cannot be used.
 
 use crate::node::Node;
-use crate::state::{CAUSE_WITHDRAWN, Session};
+use crate::state::{CAUSE_WITHDRAWN, NodeState, Session};
 use pulleystair_connections::ConnectionId;
 use pulleystair_dispatcher::PlayRequest;
 use pulleystair_viewer_protocol::{Message, code};
+use std::net::IpAddr;
 
 /// The longest time limit that a viewer may state, ms.
 const MAX_TIME_LIMIT_MS: f64 = 600_000.0;
@@ -107,27 +108,36 @@
     }
 }
 
-/// The session of a play that has no attempt yet.
-pub(crate) fn new_session(
-    viewer_connection_id: ConnectionId,
-    viewer_ip: Option<std::net::IpAddr>,
-    set_up: SetUpRequest,
-) -> Session {
-    Session {
-        viewer_connection_id,
-        viewer_ip,
-        class: set_up.class,
-        title: set_up.title,
-        description: set_up.description,
-        server_number: None,
-        server_connection_id: None,
-        is_playing: false,
-        phase_started_at: 0.0,
-        attempt_deadline: 0.0,
-        attempts: 0,
-        earlier_connections: Vec::new(),
-        rung: 0,
-        rung_sent: 0,
-        release_cause: CAUSE_WITHDRAWN,
+impl NodeState {
+    /// Whether the memory for sessions, and for descriptions that wait to be sent, has room for a set-up.
+    pub(crate) fn has_room_for(&self, set_up: &SetUpRequest) -> bool {
+        let description_bytes = self.held_descriptions.get() + set_up.description.len();
+        self.sessions.len() < self.shares.sessions && description_bytes <= self.shares.description_bytes
+    }
+
+    /// The session of a play that has no attempt yet.
+    pub(crate) fn new_session(
+        &self,
+        viewer_connection_id: ConnectionId,
+        viewer_ip: Option<IpAddr>,
+        set_up: SetUpRequest,
+    ) -> Session {
+        Session {
+            viewer_connection_id,
+            viewer_ip,
+            class: set_up.class,
+            title: set_up.title,
+            description: self.held_descriptions.hold(set_up.description),
+            server_number: None,
+            server_connection_id: None,
+            is_playing: false,
+            phase_started_at: 0.0,
+            attempt_deadline: 0.0,
+            attempts: 0,
+            earlier_connections: Vec::new(),
+            rung: 0,
+            rung_sent: 0,
+            release_cause: CAUSE_WITHDRAWN,
+        }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,6 +5,7 @@
 use crate::config::{Config, NodeLimits};
 use crate::ended_sessions::EndedSessions;
 use crate::hand_overs::UnlistedHandOvers;
+use crate::held_bytes::{HeldBytes, HeldTotal};
 use crate::media_server::{Server, ServerConnection, Teardown};
 use crate::node::Node;
 use crate::revisit_queue::RevisitQueue;
@@ -35,10 +36,11 @@
 pub(crate) const CSEQ_TEARDOWN: u32 = 2;
 pub(crate) const CSEQ_PROBE: u32 = 3;
 pub(crate) const CSEQ_OTHER: u32 = 4;
-/// Maximum number of bytes of input that are kept of a connection; a message fits.
-pub(crate) const MAX_INPUT_BYTES: usize = 32 << 10;
-/// Maximum number of bytes that may wait for a viewer that does not read them.
-pub(crate) const MAX_UNREAD_BYTES: usize = 256 << 10;
+/// Maximum number of bytes of input that are kept of a connection to a server. A message fits, and the
+/// beginning of the next.
+pub(crate) const MAX_SERVER_INPUT_BYTES: usize = 32 << 10;
+/// Maximum number of bytes of input that are kept of a viewer's connection: the longest message.
+pub(crate) const MAX_VIEWER_INPUT_BYTES: usize = pulleystair_viewer_protocol::MAX_BYTES;
 /// How long after the end of a session notices of it are sent, ms. The viewer has to be notified within this
 /// time.
 pub(crate) const NOTICE_TTL_MS: f64 = 8_000.0;
@@ -106,7 +108,8 @@
     pub(crate) viewer_ip: Option<IpAddr>,
     pub(crate) class: String,
     pub(crate) title: String,
-    pub(crate) description: Vec<u8>,
+    /// The description that is sent to a server; empty once the session plays.
+    pub(crate) description: HeldBytes,
     /// The number of the server of the current attempt or playing session, and the connection to that server.
     pub(crate) server_number: Option<u32>,
     pub(crate) server_connection_id: Option<ConnectionId>,
@@ -246,6 +249,8 @@
     pub(crate) pending_notices: VecDeque<EndNotice>,
     /// How many set-ups have no answer yet.
     pub(crate) pending_set_up_count: usize,
+    /// How many bytes the descriptions of all sessions have.
+    pub(crate) held_descriptions: HeldTotal,
     pub(crate) rng: oorandom::Rand64,
     pub(crate) stats: Sums,
     /// When the node was told to stop, Unix ms.
@@ -257,7 +262,7 @@
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
         NodeState {
             limits: config.node_limits(),
-            shares: Shares::new(config.limits.sockets),
+            shares: Shares::new(&config.limits),
             rng: oorandom::Rand64::new(config.salt.into()),
             config,
             connections: Connections::new(loop_handle.clone()),
@@ -281,6 +286,7 @@
             viewer_connections: VecDeque::new(),
             pending_notices: VecDeque::new(),
             pending_set_up_count: 0,
+            held_descriptions: HeldTotal::default(),
             stats: Sums::default(),
             stopping_since: None,
         }
@@ -330,7 +336,11 @@
     /// finds is handled when the connection's turn in `revisit_queue` comes.
     pub(crate) fn is_peer_open(&mut self, connection_id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(connection_id) else { return false };
-        if connection.read(MAX_INPUT_BYTES) || connection.has_ended {
+        let max_bytes = match connection.role {
+            Role::Viewer(_) => MAX_VIEWER_INPUT_BYTES,
+            Role::Server(_) => MAX_SERVER_INPUT_BYTES,
+        };
+        if connection.read(max_bytes) || connection.has_ended {
             self.revisit_queue.push(connection_id);
         }
         self.connections.get_mut(connection_id).is_some_and(|connection| !connection.has_ended)
--- a/crates/node/src/to_servers.rs
+++ b/crates/node/src/to_servers.rs
@@ -110,7 +110,7 @@
             CSEQ_SET_UP,
             attempt.play,
             &fields,
-            &session.description,
+            session.description.as_slice(),
         );
         if let Some(connection) = self.connections.get_mut(connection_id) {
             let offset = connection.bytes_queued();
--- a/crates/node/src/to_viewers.rs
+++ b/crates/node/src/to_viewers.rs
@@ -1,6 +1,6 @@
 //! What is sent to viewers: final answers to set-ups, and notices that sessions have ended.
 
-use crate::state::{EndNotice, MAX_NOTICES, MAX_UNREAD_BYTES, NOTICE_TTL_MS, NodeState, Timer};
+use crate::state::{EndNotice, MAX_NOTICES, NOTICE_TTL_MS, NodeState, Timer};
 use pulleystair_connections::ConnectionId;
 use pulleystair_viewer_protocol::{self as protocol, code, kind};
 use std::net::IpAddr;
@@ -11,13 +11,14 @@
 const OWN_ADDRESS_WAIT_MS: f64 = 700.0;
 
 impl NodeState {
-    /// Queues bytes for a viewer and sends what the socket takes. A connection with more than
-    /// `MAX_UNREAD_BYTES` unsent bytes is closed.
+    /// Queues bytes for a viewer and sends what the socket takes. A connection with more unsent bytes than its
+    /// share is closed.
     pub(crate) fn write_to_viewer(&mut self, connection_id: ConnectionId, bytes: &[u8]) {
+        let max_unread_bytes = self.shares.unread_bytes_per_viewer(self.viewer_connections.len());
         let Some(connection) = self.connections.get_mut(connection_id) else { return };
         connection.queue(bytes);
         connection.flush();
-        if connection.has_ended || connection.unsent_bytes() > MAX_UNREAD_BYTES {
+        if connection.has_ended || connection.unsent_bytes() > max_unread_bytes {
             connection.has_ended = true;
             self.revisit_queue.push(connection_id);
         }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -3,8 +3,9 @@
 use crate::ended_sessions::EndReport;
 use crate::hand_overs::HandOver;
 use crate::node::Node;
-use crate::set_up::new_session;
-use crate::state::{CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, HandledInTurn, MAX_INPUT_BYTES, NodeState};
+use crate::state::{
+    CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, HandledInTurn, MAX_VIEWER_INPUT_BYTES, NodeState,
+};
 use pulleystair_connections::ConnectionId;
 use pulleystair_viewer_protocol::{Message, code, kind};
 use tracing::debug;
@@ -243,6 +244,7 @@
         if is_over_limit
             || pending_here >= MAX_SET_UPS_PER_VIEWER_CONNECTION
             || self.state.pending_set_up_count >= MAX_PENDING_SET_UPS
+            || !self.state.has_room_for(&set_up)
         {
             self.state.stats.flooded += 1;
             let retry_after = self.state.limits.max_retry_after;
@@ -255,7 +257,8 @@
         self.state.pending_set_up_count += 1;
         self.mark_identified(connection_id);
         let request = set_up.request;
-        self.state.sessions.insert(play, new_session(connection_id, viewer_ip, set_up));
+        let session = self.state.new_session(connection_id, viewer_ip, set_up);
+        self.state.sessions.insert(play, session);
         self.dispatcher.add_play(now, play, &request, &mut self.state);
         true
     }
