--- a/crates/dispatcher/src/actions.rs
+++ b/crates/dispatcher/src/actions.rs
@@ -28,6 +28,17 @@
     fn watch_list(&mut self);
 }
 
+/// Allocations that were made for a play whose id a viewer uses again, at least one of which may have run.
+#[derive(Clone, Copy, Debug)]
+pub struct EarlierAllocations {
+    /// How many were made.
+    pub count: usize,
+    /// The first server on which one may have run, by the host's id. The dispatcher must know it.
+    pub server_id: u32,
+    /// When that one was sent.
+    pub sent_at: f64,
+}
+
 /// What a viewer requests.
 #[derive(Clone, Copy, Debug)]
 pub struct PlayRequest {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -9,7 +9,7 @@
 mod indices;
 mod records;
 
-pub use actions::{Actions, PlayRequest};
+pub use actions::{Actions, EarlierAllocations, PlayRequest};
 use indices::{Indices, Titles};
 use pulleystair::logic::Policy;
 use pulleystair::{Listing, LoadMetric, Next, Outcome, Placement, Play, RungChanges, ServerHint, Settings};
@@ -130,6 +130,24 @@
         self.place_play(now, play_index, actions);
     }
 
+    /// Takes a viewer's request for a play whose id was used before: further allocations are made only where the rules allow
+    /// them after the earlier ones.
+    pub fn add_returning_play(
+        &mut self,
+        now: f64,
+        play_id: u64,
+        request: &PlayRequest,
+        earlier: &EarlierAllocations,
+        actions: &mut impl Actions,
+    ) {
+        let server_index = self.servers.get_or_assign(earlier.server_id);
+        let play_index = self.insert_play(play_id, request);
+        let play = &mut self.plays[play_index];
+        (play.allocations, play.may_have_run) = (earlier.count, Some((server_index, earlier.sent_at)));
+        self.policy.add_play(now, play);
+        self.place_play(now, play_index, actions);
+    }
+
     /// Takes a play that ran on this server before this front started.
     pub fn adopt(
         &mut self,
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -136,6 +136,9 @@
             session.server_number = None;
             let (deadline, number) = (session.attempt_deadline, session.attempts);
             session.earlier_connections.extend(connection_id);
+            if outcome.may_have_run() {
+                session.may_have_run.get_or_insert((server_number, session.phase_started_at));
+            }
             let waited = now - session.phase_started_at;
             self.state.cancel_timer(deadline, Timer::AttemptDeadline(play, number));
             if let Some(connection_id) = connection_id {
@@ -145,7 +148,7 @@
         }
         self.dispatcher.on_allocation_ended(now, play, server_number, outcome, false, load, &mut self.state);
         if self.dispatcher.play(play).is_none() {
-            self.state.sessions.remove(&play);
+            self.state.remove_session(play);
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 //! - `to_viewers` and `to_servers`: what is sent to viewers and servers
 //! - `ended_sessions`: recently ended sessions
 //! - `held_bytes`: bytes held for many plays, and their sum
+//! - `recent_plays`: plays that are over, in case their viewers come again
 //! - `revisit_queue`: connections to be handled again in the next turn
 //! - `shares`: the division of the file descriptors
 
@@ -35,6 +36,7 @@
 mod lost_servers;
 mod media_server;
 mod node;
+mod recent_plays;
 mod reload;
 mod revisit_queue;
 mod server_connections;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -292,6 +292,7 @@
             return self.on_attempt_ended(play, server_number, Outcome::Error, load);
         };
         let Some(session) = self.state.sessions.get_mut(&play) else { return };
+        session.may_have_run.get_or_insert((server_number, session.phase_started_at));
         session.is_playing = true;
         session.phase_started_at = now;
         session.description = HeldBytes::default();
@@ -319,7 +320,7 @@
         load: &[LoadMetric],
     ) {
         let now = self.state.now();
-        let Some(session) = self.state.sessions.remove(&play) else { return };
+        let Some(session) = self.state.remove_session(play) else { return };
         self.state.ended_sessions.record(now, play, EndReport::Both);
         self.state.remove_playing_session(server_number);
         if outcome == Outcome::Finished {
@@ -340,7 +341,7 @@
         self.dispatcher.close_play(play, &mut self.state);
         // The dispatcher has withdrawn the play, which queued an `AttemptEnd`. The end is reported below
         // instead, because the session no longer exists when the queue is processed.
-        let Some(session) = self.state.sessions.remove(&play) else { return };
+        let Some(session) = self.state.remove_session(play) else { return };
         self.state.ended_sessions.record(now, play, EndReport::Both);
         if let Some(server_number) = session.server_number {
             self.state.remove_playing_session(server_number);
--- a/crates/node/src/set_up.rs
+++ b/crates/node/src/set_up.rs
@@ -135,6 +135,7 @@
             attempt_deadline: 0.0,
             attempts: 0,
             earlier_connections: Vec::new(),
+            may_have_run: None,
             rung: 0,
             rung_sent: 0,
             release_cause: CAUSE_WITHDRAWN,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,6 +8,7 @@
 use crate::held_bytes::{HeldBytes, HeldTotal};
 use crate::media_server::{Server, ServerConnection, Teardown};
 use crate::node::Node;
+use crate::recent_plays::{EarlierAttempts, RecentPlays};
 use crate::revisit_queue::RevisitQueue;
 use crate::shares::Shares;
 use calloop::{LoopHandle, RegistrationToken};
@@ -125,6 +126,8 @@
     /// Connections on which earlier attempts were made. What arrives there late or twice must not be taken for
     /// the response to a newer attempt, so no newer attempt uses them.
     pub(crate) earlier_connections: Vec<ConnectionId>,
+    /// The number of the first server at which an attempt may have run, and when that attempt was made, Unix ms.
+    pub(crate) may_have_run: Option<(u32, f64)>,
     pub(crate) rung: usize,
     /// The last rung that was sent to the server or reported by it.
     pub(crate) rung_sent: usize,
@@ -132,6 +135,13 @@
     pub(crate) release_cause: u8,
 }
 
+/// What is left of a session that was removed.
+pub(crate) struct EndedSession {
+    pub(crate) viewer_connection_id: ConnectionId,
+    pub(crate) viewer_ip: Option<IpAddr>,
+    pub(crate) server_number: Option<u32>,
+}
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
@@ -237,6 +247,7 @@
     /// TEARDOWNs that are still to be sent, for lack of a connection to their servers.
     pub(crate) pending_teardowns: VecDeque<Teardown>,
     pub(crate) ended_sessions: EndedSessions,
+    pub(crate) recent_plays: RecentPlays,
     /// Sessions handed over at servers that the list does not name.
     pub(crate) unlisted_hand_overs: UnlistedHandOvers,
     /// Connections to be handled again in the next turn: they may have input left, or are closed.
@@ -280,6 +291,7 @@
             held_attempts: Vec::new(),
             pending_teardowns: VecDeque::new(),
             ended_sessions: EndedSessions::default(),
+            recent_plays: RecentPlays::default(),
             unlisted_hand_overs: UnlistedHandOvers::default(),
             revisit_queue: RevisitQueue::default(),
             turn: 0,
@@ -316,6 +328,21 @@
         self.timers.time_to_next()
     }
 
+    /// Removes a session that is over. What may have run of it is remembered, in case its viewer comes again.
+    pub(crate) fn remove_session(&mut self, play: u64) -> Option<EndedSession> {
+        let session = self.sessions.remove(&play)?;
+        let ended = EndedSession {
+            viewer_connection_id: session.viewer_connection_id,
+            viewer_ip: session.viewer_ip,
+            server_number: session.server_number,
+        };
+        let now = self.now();
+        if let Some(attempts) = EarlierAttempts::of(session) {
+            self.recent_plays.insert(now, play, attempts);
+        }
+        Some(ended)
+    }
+
     /// The node's state of a viewer's connection, or `None` if the connection is closed or leads to a server.
     pub(crate) fn viewer_connection(&mut self, connection_id: ConnectionId) -> Option<&mut ViewerConnection> {
         match &mut self.connections.get_mut(connection_id)?.role {
--- a/crates/node/src/to_viewers.rs
+++ b/crates/node/src/to_viewers.rs
@@ -26,7 +26,7 @@
 
     /// Sends the final answer to a play that the dispatcher has declined or failed, and forgets the play.
     pub(crate) fn reject_play(&mut self, play: u64, cause: u8, retry_after: f64) {
-        let Some(session) = self.sessions.remove(&play) else { return };
+        let Some(session) = self.remove_session(play) else { return };
         self.mark_set_up_answered(session.viewer_connection_id, play);
         self.write_final_message(session.viewer_connection_id, play, cause, retry_after);
     }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -3,10 +3,14 @@
 use crate::ended_sessions::EndReport;
 use crate::hand_overs::HandOver;
 use crate::node::Node;
+use crate::recent_plays::EarlierAttempts;
+use crate::set_up::SetUpRequest;
 use crate::state::{
-    CAUSE_BUSY, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, HandledInTurn, MAX_VIEWER_INPUT_BYTES, NodeState,
+    CAUSE_BUSY, CAUSE_FAILED, CAUSE_UNUSABLE, CAUSE_WITHDRAWN, HandledInTurn, MAX_VIEWER_INPUT_BYTES,
+    NodeState,
 };
 use pulleystair_connections::ConnectionId;
+use pulleystair_dispatcher::EarlierAllocations;
 use pulleystair_viewer_protocol::{Message, code, kind};
 use tracing::debug;
 
@@ -71,7 +75,7 @@
         // A session with a current attempt is removed when the outcome of the attempt is reported to the
         // dispatcher.
         if server_number.is_none() {
-            self.state.sessions.remove(&play);
+            self.state.remove_session(play);
         }
     }
 
@@ -237,7 +241,12 @@
             self.handle_hand_over(HandOver { play, viewer_connection_id, viewer_ip, server_id, set_up });
             return true;
         }
+        // A viewer that has closed its connection by now has left.
+        if self.state.connections.get(connection_id).is_none_or(|connection| connection.has_ended) {
+            return true;
+        }
         self.state.stats.asked += 1;
+        let earlier = self.state.recent_plays.take(now, play);
         let Some(viewer) = self.state.viewer_connection(connection_id) else { return true };
         let pending_here = viewer.pending_set_ups.len();
         let is_over_limit = self.state.viewer_connections.len() > self.state.shares.viewers;
@@ -248,7 +257,8 @@
         {
             self.state.stats.flooded += 1;
             let retry_after = self.state.limits.max_retry_after;
-            self.state.write_final_message(connection_id, play, CAUSE_BUSY, retry_after);
+            let cause = if earlier.is_some() { CAUSE_FAILED } else { CAUSE_BUSY };
+            self.state.write_final_message(connection_id, play, cause, retry_after);
             return true;
         }
         if let Some(viewer) = self.state.viewer_connection(connection_id) {
@@ -256,10 +266,37 @@
         }
         self.state.pending_set_up_count += 1;
         self.mark_identified(connection_id);
+        self.start_play(now, play, connection_id, set_up, earlier);
+        true
+    }
+
+    /// Starts the play of a set-up that was taken. If its id was used before, the dispatcher is told which
+    /// attempts may have run.
+    fn start_play(
+        &mut self,
+        now: f64,
+        play: u64,
+        connection_id: ConnectionId,
+        set_up: SetUpRequest,
+        earlier: Option<EarlierAttempts>,
+    ) {
         let request = set_up.request;
-        let session = self.state.new_session(connection_id, viewer_ip, set_up);
+        let viewer_ip = self.state.viewer_connection(connection_id).and_then(|viewer| viewer.ip);
+        let mut session = self.state.new_session(connection_id, viewer_ip, set_up);
+        let Some(earlier) = earlier else {
+            self.state.sessions.insert(play, session);
+            return self.dispatcher.add_play(now, play, &request, &mut self.state);
+        };
+        let EarlierAttempts { server_number, sent_at, count, connections } = earlier;
+        session.attempts = count;
+        session.earlier_connections = connections;
+        session.may_have_run = Some((server_number, sent_at));
         self.state.sessions.insert(play, session);
-        self.dispatcher.add_play(now, play, &request, &mut self.state);
-        true
+        // Nothing is known any more of a server that was forgotten, so nothing can follow an attempt there.
+        if !self.state.servers.contains_key(&server_number) {
+            return self.state.reject_play(play, CAUSE_FAILED, 0.0);
+        }
+        let earlier = EarlierAllocations { count: count as usize, server_id: server_number, sent_at };
+        self.dispatcher.add_returning_play(now, play, &request, &earlier, &mut self.state);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -151,6 +151,13 @@
     NeverSent,
 }
 
+impl Outcome {
+    /// Whether the allocation may have had an effect on its server.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent)
+    }
+}
+
 /// What to do with a play after an outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/src/logic/facts.rs
+++ b/src/logic/facts.rs
@@ -146,8 +146,12 @@
         rung_changes
     }
 
-    /// Takes a new play, which starts on its product's lowest rung and counts for the allocation budget.
+    /// Takes a new play, which starts on its product's lowest rung and counts for the allocation budget. Allocations of it
+    /// may have been made before.
     pub fn add_play(&mut self, now: f64, play: &mut Play) {
+        if let Some((server_index, _)) = play.may_have_run {
+            self.ensure_server(server_index);
+        }
         if self.settings.contains_key("rules.budget_share") {
             self.arrivals.push_back(now);
             self.drop_old_arrivals(now);
@@ -218,7 +222,7 @@
         let seats = self.seats_taken.entry((plays[play_index].product, plays[play_index].title)).or_default();
         *seats = seats.saturating_sub(1);
         let play = &mut plays[play_index];
-        if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
+        if outcome.may_have_run() {
             play.may_have_run.get_or_insert((server_index, play.sent_at));
         }
         (play.server, play.probed, play.recheck_at) = (None, false, now);
