--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,6 +6,7 @@
 //! floating-point numbers on the host's clock.
 
 mod actions;
+mod arrivals;
 mod indices;
 mod records;
 
@@ -123,47 +124,6 @@
         true
     }
 
-    /// Takes a viewer's request for a play with a new id, and places the play.
-    pub fn add_play(&mut self, now: f64, play_id: u64, request: &PlayRequest, actions: &mut impl Actions) {
-        let play_index = self.insert_play(play_id, request);
-        self.policy.add_play(now, &mut self.plays[play_index]);
-        self.place_play(now, play_index, actions);
-    }
-
-    /// Takes a viewer's request for a play whose id was used before: further allocations are made only where the rules allow
-    /// them after the earlier ones.
-    pub fn add_returning_play(
-        &mut self,
-        now: f64,
-        play_id: u64,
-        request: &PlayRequest,
-        earlier: &EarlierAllocations,
-        actions: &mut impl Actions,
-    ) {
-        let server_index = self.servers.get_or_assign(earlier.server_id);
-        let play_index = self.insert_play(play_id, request);
-        let play = &mut self.plays[play_index];
-        (play.allocations, play.may_have_run) = (earlier.count, Some((server_index, earlier.sent_at)));
-        self.policy.add_play(now, play);
-        self.place_play(now, play_index, actions);
-    }
-
-    /// Takes a play that ran on this server before this front started.
-    pub fn adopt(
-        &mut self,
-        now: f64,
-        play_id: u64,
-        request: &PlayRequest,
-        server_id: u32,
-        actions: &mut impl Actions,
-    ) {
-        let server_index = self.servers.get_or_assign(server_id);
-        let play_index = self.insert_play(play_id, request);
-        self.plays[play_index].server = Some(server_index);
-        self.policy.adopt(now, &mut self.plays, play_index);
-        self.update_timer(now, play_index, actions);
-    }
-
     /// The allocation in flight has succeeded: the play runs.
     pub fn on_playing(&mut self, now: f64, play_id: u64, actions: &mut impl Actions) {
         if let Some(&play_index) = self.by_id.get(&play_id) {
@@ -301,32 +261,6 @@
         }
     }
 
-    /// Stores a new play and returns its index.
-    fn insert_play(&mut self, play_id: u64, request: &PlayRequest) -> usize {
-        let PlayRequest { product, first_cell, holder_cells, max_rung, arrived_at, deadline, .. } = *request;
-        let title = self.titles.add_play(request.title);
-        let play = Play {
-            product,
-            title,
-            first_cell,
-            holder_cells,
-            max_rung,
-            arrived_at,
-            deadline,
-            ..Play::default()
-        };
-        let play_index = self.free_indices.pop().unwrap_or(self.plays.len());
-        if play_index == self.plays.len() {
-            self.plays.push(play);
-            self.slots.push((play_id, None));
-        } else {
-            self.plays[play_index] = play;
-            self.slots[play_index] = (play_id, None);
-        }
-        self.by_id.insert(play_id, play_index);
-        play_index
-    }
-
     /// Has the placement logic place a play, and the host carry the decision out.
     fn place_play(&mut self, now: f64, play_index: usize, actions: &mut impl Actions) {
         let play_id = self.slots[play_index].0;
--- a/crates/edge/tests/node_races_sessions.rs
+++ b/crates/edge/tests/node_races_sessions.rs
@@ -176,22 +176,31 @@
     other_address_viewer.expect_no_message();
 }
 
+/// The address of a viewer whose connection is reset.
+const AWAY: [u8; 4] = [127, 0, 0, 2];
+
+/// Starts this session for a viewer at this address, and the next one for another viewer; then the first one's connection is reset.
+/// Returns the other viewer, and the connection to the server.
+fn reset_viewer_at(fixture: &NodeFixture, address: [u8; 4], session: u64) -> (Viewer, ServerConnection) {
+    let (mut viewer, mut other_viewer) =
+        (fixture.node.connect_viewer_from(address), fixture.node.connect_viewer());
+    let mut connection = fixture.start_session(&mut viewer, session);
+    other_viewer.send(&set_up_message(session + 1, &[TITLE_AT_FIRST]));
+    connection.serve_set_up(&mut other_viewer, session + 1);
+    viewer.reset();
+    other_viewer.expect_no_message();
+    (other_viewer, connection)
+}
+
 /// The viewer is back before its notice is due, at its address; another viewer is connected all the time. Guards against notices that
 /// go to another viewer and count as sent (`foreign` in review/REPORT-2.md).
 #[test]
 fn end_notice_waits_for_a_connection_from_its_viewers_address() {
     let fixture = start_fixture();
-    let address = [127, 0, 0, 2];
-    let (mut first_viewer, mut other_viewer) =
-        (fixture.node.connect_viewer_from(address), fixture.node.connect_viewer());
-    let mut connection = fixture.start_session(&mut first_viewer, 164);
-    other_viewer.send(&set_up_message(165, &[TITLE_AT_FIRST]));
-    connection.serve_set_up(&mut other_viewer, 165);
-    first_viewer.reset();
-    other_viewer.expect_no_message();
+    let (mut other_viewer, mut connection) = reset_viewer_at(&fixture, AWAY, 164);
     connection.send_request("TEARDOWN", 164, "Reason: cause=41\r\n");
     fixture.dns.wait_for_queries(1);
-    let mut viewer = fixture.node.connect_viewer_from(address);
+    let mut viewer = fixture.node.connect_viewer_from(AWAY);
     viewer.send(&hand_over_message(166, FIRST_SERVER));
     assert_eq!(viewer.expect_message(RELEASE, 164).cause(), 41);
     fixture.dns.wait_for_queries(8);
@@ -202,19 +211,12 @@
 #[test]
 fn end_notice_is_sent_on_any_connection_after_a_wait() {
     let fixture = start_fixture();
-    let address = [127, 0, 0, 2];
-    let (mut first_viewer, mut other_viewer) =
-        (fixture.node.connect_viewer_from(address), fixture.node.connect_viewer());
-    let mut connection = fixture.start_session(&mut first_viewer, 167);
-    other_viewer.send(&set_up_message(168, &[TITLE_AT_FIRST]));
-    connection.serve_set_up(&mut other_viewer, 168);
-    first_viewer.reset();
-    other_viewer.expect_no_message();
+    let (mut other_viewer, mut connection) = reset_viewer_at(&fixture, AWAY, 167);
     let ended_at = Instant::now();
     connection.send_request("TEARDOWN", 167, "Reason: cause=41\r\n");
     assert_eq!(other_viewer.expect_message(RELEASE, 167).cause(), 41);
     assert!(ended_at.elapsed() < Duration::from_secs(1));
-    let mut viewer = fixture.node.connect_viewer_from(address);
+    let mut viewer = fixture.node.connect_viewer_from(AWAY);
     viewer.send(&hand_over_message(169, FIRST_SERVER));
     assert_eq!(viewer.expect_message(RELEASE, 167).cause(), 41);
     other_viewer.expect_no_message();
