An id that may have run is not forgotten when it is refused for want of room

After a refusal the id counted as new, and could be set up again.

Change: it is put back with the refusal.

Measured: returning_id_that_was_refused_for_want_of_room_is_not_set_up_later fails without the change and passes with it.

--- a/crates/edge/tests/node_departed_viewers.rs
+++ b/crates/edge/tests/node_departed_viewers.rs
@@ -6,6 +6,7 @@
 use fake_peers::{DESCRIPTION, ServerConnection, Viewer, encode_message, set_up_message};
 use node_fixture::{ANSWER, NodeFixture, RELEASE, TITLE_AT_FIRST, start_fixture, start_with_replacements};
 use std::io::Write;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 /// Cause of the release of a play that has failed.
@@ -78,6 +79,25 @@
     assert!(!fixture.servers[0].has_connection() && !fixture.servers[1].has_connection());
 }
 
+/// An id that may have run comes again twice, the first time on a connection that has no room for it. Guards against one that is
+/// forgotten with its refusal.
+#[test]
+fn returning_id_that_was_refused_for_want_of_room_is_not_set_up_later() {
+    let fixture = start_with_replacements(256, &[NON_IDEMPOTENT]);
+    let connection = end_first_request(&fixture, 203, FirstRequest::LeftUnanswered);
+    let mut crowded_viewer = fixture.node.connect_viewer();
+    let pending = (300..348).flat_map(|play| set_up_message(play, &[TITLE_AT_FIRST]));
+    crowded_viewer.send(&pending.chain(set_up_message(203, &[])).collect::<Vec<u8>>());
+    assert_eq!(crowded_viewer.expect_message(RELEASE, 203).cause(), FAILED);
+    let mut viewer = fixture.node.connect_viewer();
+    let sent_at = Instant::now();
+    viewer.send(&set_up_message(203, &[]));
+    assert_eq!(viewer.expect_message(RELEASE, 203).cause(), FAILED);
+    // An attempt that no server answers takes a third of the target of 2 s.
+    assert!(sent_at.elapsed() < Duration::from_millis(500), "an attempt was made");
+    drop(connection);
+}
+
 /// Where a repeat does no harm, an id that comes again is set up again, on a connection of its own.
 #[test]
 fn returning_id_that_may_be_repeated_is_set_up_again() {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -257,7 +257,11 @@
         {
             self.state.stats.flooded += 1;
             let retry_after = self.state.limits.max_retry_after;
-            let cause = if earlier.is_some() { CAUSE_FAILED } else { CAUSE_BUSY };
+            let mut cause = CAUSE_BUSY;
+            if let Some(earlier) = earlier {
+                cause = CAUSE_FAILED;
+                self.state.recent_plays.insert(now, play, earlier);
+            }
             self.state.write_final_message(connection_id, play, cause, retry_after);
             return true;
         }
